--- a/agent/batch_test.go
+++ b/agent/batch_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -125,7 +125,7 @@
 		r.config.Total.MemoryBytes = 1000
 		r.worker = memory.NewWorker(memory.WorkerOptions{
 			Instance: "i1", Kinds: map[structs.Kind]memory.Program{"steps": steps},
-			Actual: func(platform.TaskStart) structs.Resources { return structs.Resources{MemoryBytes: 400} },
+			Actual: func(infra.TaskStart) structs.Resources { return structs.Resources{MemoryBytes: 400} },
 		})
 		a, stop := r.agent()
 		defer r.worker.Close()
--- a/agent/config.go
+++ b/agent/config.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -110,9 +110,9 @@
 // Deps are what an agent works with. Events and HTTP may be nil; Log may be
 // the zero Logger.
 type Deps struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Worker  platform.Worker
+	Table   infra.Table
+	Objects infra.Objects
+	Worker  infra.Worker
 	Peers   wire.Dialer
 	Events  structs.Recorder
 	Log     zerolog.Logger
--- a/agent/configuration/configuration.go
+++ b/agent/configuration/configuration.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -41,7 +41,7 @@
 
 // Follower is safe for use by many goroutines.
 type Follower struct {
-	table platform.Table
+	table infra.Table
 	ask   Ask
 	// apply puts a configuration into force; false says that it was refused
 	// as not newer, which the follower rules out.
@@ -62,7 +62,7 @@
 }
 
 // New returns a follower without a configuration.
-func New(table platform.Table, ask Ask, apply func(structs.Config) bool, broken func(what string)) *Follower {
+func New(table infra.Table, ask Ask, apply func(structs.Config) bool, broken func(what string)) *Follower {
 	return &Follower{table: table, ask: ask, apply: apply, broken: broken, wake: make(chan struct{}, 1)}
 }
 
--- a/agent/configuration/configuration_test.go
+++ b/agent/configuration/configuration_test.go
@@ -11,10 +11,10 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -62,12 +62,12 @@
 		r.t.Fatal(err)
 	}
 	next := row.Next(configtable.Changed{Customer: c, Removed: share == 0})
-	txn := platform.Txn{Op: fmt.Sprint(next.Revision), Conds: []platform.Cond{{Key: structs.RevisionKey, Version: version}},
-		Puts: []platform.Put{{Key: structs.RevisionKey, Value: encode(next)}}}
+	txn := infra.Txn{Op: fmt.Sprint(next.Revision), Conds: []infra.Cond{{Key: structs.RevisionKey, Version: version}},
+		Puts: []infra.Put{{Key: structs.RevisionKey, Value: encode(next)}}}
 	if share == 0 {
 		txn.Deletes = []string{structs.ContractKey(c)}
 	} else {
-		txn.Puts = append(txn.Puts, platform.Put{Key: structs.ContractKey(c), Value: encode(structs.Contract{Customer: c, Share: share, Revision: next.Revision})})
+		txn.Puts = append(txn.Puts, infra.Put{Key: structs.ContractKey(c), Value: encode(structs.Contract{Customer: c, Share: share, Revision: next.Revision})})
 	}
 	if _, err := r.table.Commit(r.t.Context(), txn); err != nil {
 		r.t.Fatal(err)
--- a/agent/follow_test.go
+++ b/agent/follow_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -22,8 +22,8 @@
 	next := row.Next(configtable.Changed{Customer: c})
 	value, _ := json.Marshal(next)
 	contract, _ := json.Marshal(structs.Contract{Customer: c, Share: share, Revision: next.Revision})
-	puts := []platform.Put{{Key: structs.RevisionKey, Value: value}, {Key: structs.ContractKey(c), Value: contract}}
-	if _, err := r.store.Commit(r.t.Context(), platform.Txn{Op: "accept", Puts: puts}); err != nil {
+	puts := []infra.Put{{Key: structs.RevisionKey, Value: value}, {Key: structs.ContractKey(c), Value: contract}}
+	if _, err := r.store.Commit(r.t.Context(), infra.Txn{Op: "accept", Puts: puts}); err != nil {
 		r.t.Fatal(err)
 	}
 	return next.Revision
--- a/agent/lease/lease.go
+++ b/agent/lease/lease.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -30,7 +30,7 @@
 }
 
 // Fencer stops all tasks of holders below h for good and returns once they
-// have stopped; platform.Worker is one.
+// have stopped; infra.Worker is one.
 type Fencer interface {
 	Fence(ctx context.Context, h structs.Incarnation) error
 }
@@ -49,7 +49,7 @@
 // Keeper takes the row, renews it, and takes it again when it was lost.
 type Keeper struct {
 	config Config
-	table  platform.Table
+	table  infra.Table
 	worker Fencer
 	// Counters may be read at any time.
 	Counters Counters
@@ -74,7 +74,7 @@
 }
 
 // New returns a keeper that holds nothing.
-func New(c Config, table platform.Table, worker Fencer) *Keeper {
+func New(c Config, table infra.Table, worker Fencer) *Keeper {
 	return &Keeper{config: c, table: table, worker: worker, id: rand.Text()}
 }
 
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithTimeout(ctx, k.config.Timeout)
 	defer cancel()
 	row, err := k.table.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return eris.Wrapf(err, "read lease of %s", k.config.Instance)
 	}
 	var old structs.AgentLease
@@ -201,10 +201,10 @@
 		return 0, err
 	}
 	key := structs.AgentLeaseKey(row.Instance)
-	versions, err := platform.CommitOnce(ctx, k.table, platform.Txn{
+	versions, err := infra.CommitOnce(ctx, k.table, infra.Txn{
 		Op:    fmt.Sprintf("%s/%d", k.id, k.ops.Add(1)),
-		Conds: []platform.Cond{{Key: key, Version: version}},
-		Puts:  []platform.Put{{Key: key, Value: value}},
+		Conds: []infra.Cond{{Key: key, Version: version}},
+		Puts:  []infra.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return 0, err
@@ -228,7 +228,7 @@
 		k.mu.Unlock()
 		next.Counter++
 		written, err := k.write(ctx, next, version)
-		var conflict *platform.ConflictError
+		var conflict *infra.ConflictError
 		switch {
 		case err == nil:
 			k.renewed(next, written, sent)
@@ -252,7 +252,7 @@
 }
 
 // adopt takes over the version of a row that this keeper wrote earlier.
-func (k *Keeper) adopt(current platform.Row) error {
+func (k *Keeper) adopt(current infra.Row) error {
 	var row structs.AgentLease
 	if current.Version == 0 || json.Unmarshal(current.Value, &row) != nil || !k.wrote(current.Op) {
 		return errLost
@@ -282,7 +282,7 @@
 	next.Counter++
 	next.State = structs.LeaseReleased
 	_, err := k.write(ctx, next, version)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	if errors.As(err, &conflict) && k.adopt(conflict.Current) == nil {
 		return k.Release(ctx)
 	}
--- a/agent/lease_test.go
+++ b/agent/lease_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform/fault"
+	"persimmonrock.example/infra/fault"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/agent/outage_test.go
+++ b/agent/outage_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/rs/zerolog"
 	"persimmonrock.example/backend"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/agent/survey.go
+++ b/agent/survey.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"persimmonrock.example/agent/ledger"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -40,7 +40,7 @@
 	}
 	var out []ledger.WorkerTask
 	for _, t := range list {
-		if t.Phase == platform.TaskRunning && (held == 0 || t.Holder != held) {
+		if t.Phase == infra.TaskRunning && (held == 0 || t.Holder != held) {
 			out = append(out, ledger.WorkerTask{Key: ledger.TaskKey{Job: t.Job, Epoch: t.Epoch}, Size: t.Declared})
 		}
 	}
--- a/agent/tasks/end.go
+++ b/agent/tasks/end.go
@@ -4,17 +4,17 @@
 	"context"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
 
 // endReport turns the worker's word into a report. A result is in the object
 // store before the report says so.
-func (t *task) endReport(ctx context.Context, s platform.TaskStatus) *wire.TaskReport {
+func (t *task) endReport(ctx context.Context, s infra.TaskStatus) *wire.TaskReport {
 	t.release()
 	switch s.Phase {
-	case platform.TaskDone:
+	case infra.TaskDone:
 		key := structs.ResultKey(t.grant.Job, t.grant.Epoch)
 		if !t.putUntilDone(ctx, key, s.Result) {
 			return nil
@@ -22,7 +22,7 @@
 		r := t.report(wire.EndDone, "")
 		r.Result = key
 		return r
-	case platform.TaskFailed:
+	case infra.TaskFailed:
 		return t.report(wire.EndFailed, s.Error)
 	}
 	if want, _, _ := t.state(); want == wire.StopCancelled {
@@ -71,7 +71,7 @@
 	if !t.stopOnWorker(ctx) {
 		return nil
 	}
-	if s := t.lastWord(ctx); s != nil && (s.Phase == platform.TaskDone || s.Phase == platform.TaskFailed) {
+	if s := t.lastWord(ctx); s != nil && (s.Phase == infra.TaskDone || s.Phase == infra.TaskFailed) {
 		return t.endReport(ctx, *s)
 	}
 	return t.report(wire.EndEvicted, "")
@@ -121,7 +121,7 @@
 
 // lastWord returns what the worker says of a task that was stopped: it may
 // have ended by itself before.
-func (t *task) lastWord(ctx context.Context) *platform.TaskStatus {
+func (t *task) lastWord(ctx context.Context) *infra.TaskStatus {
 	ctx, cancel := context.WithTimeout(ctx, t.m.config.Timeout)
 	defer cancel()
 	list, err := t.m.deps.Worker.List(ctx)
@@ -154,9 +154,9 @@
 		t := watched[key]
 		delete(watched, key)
 		switch {
-		case s.Phase == platform.TaskRunning && t != nil:
+		case s.Phase == infra.TaskRunning && t != nil:
 			t.seen(s)
-		case s.Phase == platform.TaskRunning:
+		case s.Phase == infra.TaskRunning:
 		case t != nil:
 			t.over(s)
 		case s.Holder < held:
--- a/agent/tasks/states.go
+++ b/agent/tasks/states.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"persimmonrock.example/decide"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -102,14 +102,14 @@
 }
 
 // seen takes the worker's word on a running task.
-func (t *task) seen(s *platform.TaskStatus) {
+func (t *task) seen(s *infra.TaskStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.progress.done = s.Progress
 }
 
 // measured takes a usage report.
-func (t *task) measured(u platform.Usage) {
+func (t *task) measured(u infra.Usage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.progress.memory = u.MemoryBytes
--- a/agent/tasks/task.go
+++ b/agent/tasks/task.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -29,7 +29,7 @@
 	want    wire.StopReason
 	forced  bool
 	// ended is the worker's word that the task has ended.
-	ended *platform.TaskStatus
+	ended *infra.TaskStatus
 	used  structs.Resources
 	// progress is for decisions about relief.
 	progress progress
@@ -68,20 +68,20 @@
 
 // over takes the worker's word that the task has ended; nil says that the
 // worker does not know it any more.
-func (t *task) over(status *platform.TaskStatus) {
+func (t *task) over(status *infra.TaskStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ended != nil || !t.started {
 		return
 	}
 	if status == nil {
-		status = &platform.TaskStatus{Phase: platform.TaskStopped, Error: "not known to the worker"}
+		status = &infra.TaskStatus{Phase: infra.TaskStopped, Error: "not known to the worker"}
 	}
 	t.ended = status
 	t.signal()
 }
 
-func (t *task) state() (want wire.StopReason, forced bool, ended *platform.TaskStatus) {
+func (t *task) state() (want wire.StopReason, forced bool, ended *infra.TaskStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.want, t.forced, t.ended
@@ -125,7 +125,7 @@
 	start, cancel := context.WithTimeout(ctx, min(t.m.config.Timeout, left-2*t.m.config.WorkerLease))
 	defer cancel()
 	g := t.grant
-	err = t.m.deps.Worker.Start(start, platform.TaskStart{
+	err = t.m.deps.Worker.Start(start, infra.TaskStart{
 		Job: g.Job, Epoch: g.Epoch, Customer: g.Customer, Kind: g.Spec.Kind,
 		Payload: g.Spec.Payload, Checkpoint: state, Declared: g.Spec.Declared,
 		Holder: g.Incarnation, Lease: t.m.config.WorkerLease,
@@ -177,7 +177,7 @@
 		read, cancel := context.WithTimeout(ctx, t.m.config.Timeout)
 		state, err := t.m.deps.Objects.Get(read, t.grant.Checkpoint)
 		cancel()
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
+		if err == nil || errors.Is(err, infra.ErrNotFound) {
 			return state, err
 		}
 		if _, held := t.held(); !held {
--- a/agent/tasks/tasks.go
+++ b/agent/tasks/tasks.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 	"persimmonrock.example/agent/ledger"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -39,8 +39,8 @@
 type Deps struct {
 	Ledger  *ledger.Ledger
 	Lease   Lease
-	Worker  platform.Worker
-	Objects platform.Objects
+	Worker  infra.Worker
+	Objects infra.Objects
 	Peers   wire.Dialer
 	// Entries returns the addresses of the entries that are known.
 	Entries func() []string
--- a/agent/twoplaces_test.go
+++ b/agent/twoplaces_test.go
@@ -11,9 +11,9 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 	"pgregory.net/rapid"
@@ -50,7 +50,7 @@
 	*rig
 	agent *Agent
 	kill  func()
-	seen  platform.Row
+	seen  infra.Row
 	since time.Time
 }
 
@@ -172,7 +172,7 @@
 	}
 }
 
-func leaseOf(r platform.Row) (l structs.AgentLease) {
+func leaseOf(r infra.Row) (l structs.AgentLease) {
 	_ = json.Unmarshal(r.Value, &l)
 	return l
 }
@@ -189,9 +189,9 @@
 	}
 	l.State = structs.LeaseFenced
 	value, _ := json.Marshal(l)
-	_, _ = h.store.Commit(context.Background(), platform.Txn{
-		Op: fmt.Sprint("fence", row.Version), Conds: []platform.Cond{{Key: row.Key, Version: row.Version}},
-		Puts: []platform.Put{{Key: row.Key, Value: value}},
+	_, _ = h.store.Commit(context.Background(), infra.Txn{
+		Op: fmt.Sprint("fence", row.Version), Conds: []infra.Cond{{Key: row.Key, Version: row.Version}},
+		Puts: []infra.Put{{Key: row.Key, Value: value}},
 	})
 }
 
--- a/cmd/capacity/capacity_test.go
+++ b/cmd/capacity/capacity_test.go
@@ -21,9 +21,9 @@
 
 	"persimmonrock.example/cmd/node"
 	"persimmonrock.example/entry/directory"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/ops/settings"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/cmd/capacity/config_test.go
+++ b/cmd/capacity/config_test.go
@@ -16,8 +16,8 @@
 
 	"persimmonrock.example/agent/configuration"
 	"persimmonrock.example/entry/contracts"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/cmd/capacity/store_test.go
+++ b/cmd/capacity/store_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/structs"
 )
 
@@ -90,7 +90,7 @@
 func (s *store) put(key string, value any) {
 	b, err := json.Marshal(value)
 	must(err)
-	_, err = s.Commit(context.Background(), platform.Txn{Op: rand.Text(), Puts: []platform.Put{{Key: key, Value: b}}})
+	_, err = s.Commit(context.Background(), infra.Txn{Op: rand.Text(), Puts: []infra.Put{{Key: key, Value: b}}})
 	must(err)
 }
 
--- a/cmd/e2e/harness_test.go
+++ b/cmd/e2e/harness_test.go
@@ -23,10 +23,10 @@
 
 	"persimmonrock.example/cmd/node"
 	"persimmonrock.example/cmd/sample"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/ops/keys"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
 	"persimmonrock.example/structs"
 )
 
--- a/cmd/node/cluster.go
+++ b/cmd/node/cluster.go
@@ -14,9 +14,9 @@
 
 	"persimmonrock.example/backend"
 	"persimmonrock.example/cmd/sample"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/ops/keys"
 	"persimmonrock.example/ops/settings"
-	"persimmonrock.example/platform/memory"
 	"persimmonrock.example/structs"
 )
 
--- a/cmd/node/command.go
+++ b/cmd/node/command.go
@@ -12,9 +12,9 @@
 
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/ops/settings"
-	"persimmonrock.example/platform/remote"
 )
 
 // Exit statuses of a process.
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -13,20 +13,20 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/infra"
 	"persimmonrock.example/ops/certs"
 	"persimmonrock.example/ops/events"
 	"persimmonrock.example/ops/serve"
 	"persimmonrock.example/ops/settings"
-	"persimmonrock.example/platform"
 	"persimmonrock.example/wire"
 )
 
 // Platform is the platform's services as one process reaches them. Worker is
 // only used by agents.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Worker  platform.Worker
+	Table   infra.Table
+	Objects infra.Objects
+	Worker  infra.Worker
 }
 
 // listeners are a process's two sockets.
--- a/cmd/node/peers_test.go
+++ b/cmd/node/peers_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/ops/certs"
 	"persimmonrock.example/ops/keys"
 	"persimmonrock.example/ops/settings"
-	"persimmonrock.example/platform/memory"
 	"persimmonrock.example/structs"
 )
 
--- a/cmd/sample/sample.go
+++ b/cmd/sample/sample.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
--- a/entry/batch/agent_test.go
+++ b/entry/batch/agent_test.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/agent"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/entry/batch/api.go
+++ b/entry/batch/api.go
@@ -5,7 +5,7 @@
 
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -162,8 +162,8 @@
 
 // Deps is what a Manager works with. All are required.
 type Deps struct {
-	Table     platform.Table
-	Objects   platform.Objects
+	Table     infra.Table
+	Objects   infra.Objects
 	Directory Directory
 	Contracts Contracts
 	Peers     wire.Dialer
--- a/entry/batch/batch_test.go
+++ b/entry/batch/batch_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"persimmonrock.example/agent"
-	"persimmonrock.example/platform/fault"
+	"persimmonrock.example/infra/fault"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/entry/batch/cost_test.go
+++ b/entry/batch/cost_test.go
@@ -12,8 +12,8 @@
 
 	"persimmonrock.example/agent"
 	"persimmonrock.example/decide"
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -159,7 +159,7 @@
 			Spec: structs.JobSpec{Kind: "grade", Declared: structs.Resources{Slots: 1, MemoryBytes: 1 << 30}},
 		}
 		j.Shard = structs.ShardOf(j.Customer)
-		table.Commit(b.Context(), platform.Txn{Puts: []platform.Put{{Key: structs.JobKey(j.Shard, j.ID), Value: encode(j)}}})
+		table.Commit(b.Context(), infra.Txn{Puts: []infra.Put{{Key: structs.JobKey(j.Shard, j.ID), Value: encode(j)}}})
 	}
 	before := heapInUse()
 	m := New(Config{Entry: "e", Address: "e"}, Deps{
--- a/entry/batch/evidence.go
+++ b/entry/batch/evidence.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -56,7 +56,7 @@
 }
 
 // see takes one reading of a row; a lower incarnation than known is dropped.
-func (f *facts) see(row platform.Row, l structs.AgentLease, now time.Time, interval time.Duration) (s sighting[structs.AgentLease], blind bool) {
+func (f *facts) see(row infra.Row, l structs.AgentLease, now time.Time, interval time.Duration) (s sighting[structs.AgentLease], blind bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.agents == nil {
@@ -79,7 +79,7 @@
 	pace := m.agentScanPace()
 	rows := int64(0)
 	var lapsed []sighting[structs.AgentLease]
-	err := m.scan(ctx, structs.AgentLeasePrefix, func(r platform.Row) {
+	err := m.scan(ctx, structs.AgentLeasePrefix, func(r infra.Row) {
 		rows++
 		var l structs.AgentLease
 		if json.Unmarshal(r.Value, &l) != nil || structs.AgentLeaseKey(l.Instance) != r.Key {
@@ -113,15 +113,15 @@
 	attempt, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
 	defer cancel()
 	m.count.writes.Add(1)
-	versions, err := m.deps.Table.Commit(attempt, platform.Txn{
+	versions, err := m.deps.Table.Commit(attempt, infra.Txn{
 		Op:    string(m.cfg.Entry) + "/fence/" + key,
-		Conds: []platform.Cond{{Key: key, Version: s.version}},
-		Puts:  []platform.Put{{Key: key, Value: encode(fenced)}},
+		Conds: []infra.Cond{{Key: key, Version: s.version}},
+		Puts:  []infra.Put{{Key: key, Value: encode(fenced)}},
 	})
 	if err != nil {
 		return
 	}
-	m.facts.see(platform.Row{Key: key, Version: versions[0]}, fenced, time.Now(), m.agentScanPace())
+	m.facts.see(infra.Row{Key: key, Version: versions[0]}, fenced, time.Now(), m.agentScanPace())
 	m.count.agentsFenced.Add(1)
 	m.deps.Events.Record(structs.Event{Step: StepAgentFenced, Peer: string(s.lease.Instance)})
 	m.deps.Log.Warn().Str("instance", string(s.lease.Instance)).Msg("agent lease lapsed, fenced")
--- a/entry/batch/expire.go
+++ b/entry/batch/expire.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"persimmonrock.example/entry/retention"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -85,7 +85,7 @@
 		return nil
 	}
 	row, err := t.m.get(ctx, structs.JobKey(t.shard, id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.outside.remove(id)
@@ -97,7 +97,7 @@
 	var j structs.Job
 	if json.Unmarshal(row.Value, &j) != nil {
 		t.m.broken("job row %s can't be read", row.Key)
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	t.m.count.jobsRecalled.Add(1)
 	t.remember(j, row.Version)
@@ -176,7 +176,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, t.m.cfg.StoreTimeout)
 		err := t.m.deps.Objects.Delete(ctx, key)
 		cancel()
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, infra.ErrNotFound) {
 			t.m.count.expireFailed.Add(1)
 			return false
 		}
--- a/entry/batch/expire_test.go
+++ b/entry/batch/expire_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"persimmonrock.example/entry/retention"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -37,7 +37,7 @@
 	const jobs = 10
 	inSlotWorldOf(t, Config{Retain: 2, JobRetention: kept}, func(y *slotWorld) {
 		old := structs.Job{ID: "old", Customer: "acme", Shard: structs.ShardOf("acme"), State: structs.JobDone, Epoch: 1, Submitted: 1}
-		y.table.Commit(y.ctx, platform.Txn{Op: "old", Puts: []platform.Put{{Key: structs.JobKey(old.Shard, old.ID), Value: encode(old)}}})
+		y.table.Commit(y.ctx, infra.Txn{Op: "old", Puts: []infra.Put{{Key: structs.JobKey(old.Shard, old.ID), Value: encode(old)}}})
 		y.runAll(jobs)
 		bytes := 0
 		for _, j := range y.jobs() {
--- a/entry/batch/manager.go
+++ b/entry/batch/manager.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"persimmonrock.example/entry/retention"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -131,7 +131,7 @@
 }
 
 // get reads one row under the store's time limit.
-func (m *Manager) get(ctx context.Context, key string) (platform.Row, error) {
+func (m *Manager) get(ctx context.Context, key string) (infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
 	defer cancel()
 	m.count.reads.Add(1)
@@ -142,7 +142,7 @@
 const scanPage = 1000
 
 // scan reads all rows under prefix, page by page.
-func (m *Manager) scan(ctx context.Context, prefix string, row func(platform.Row)) error {
+func (m *Manager) scan(ctx context.Context, prefix string, row func(infra.Row)) error {
 	after := ""
 	for {
 		page, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
--- a/entry/batch/ownership.go
+++ b/entry/batch/ownership.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -21,9 +21,9 @@
 // shards that are free and gives up what is beyond an even part.
 func (m *Manager) observeShards(ctx context.Context) {
 	sent := time.Now()
-	var rows [structs.ShardCount]platform.Row
+	var rows [structs.ShardCount]infra.Row
 	var leases [structs.ShardCount]structs.ShardLease
-	err := m.scan(ctx, structs.ShardPrefix, func(r platform.Row) {
+	err := m.scan(ctx, structs.ShardPrefix, func(r infra.Row) {
 		var l structs.ShardLease
 		if json.Unmarshal(r.Value, &l) != nil || l.Shard >= structs.ShardCount {
 			m.broken("shard row %s can't be read", r.Key)
@@ -151,10 +151,10 @@
 	defer cancel()
 	m.count.writes.Add(1)
 	sent := time.Now()
-	versions, err := m.deps.Table.Commit(attempt, platform.Txn{
+	versions, err := m.deps.Table.Commit(attempt, infra.Txn{
 		Op:    string(m.cfg.Entry) + "/" + rand.Text(),
-		Conds: []platform.Cond{{Key: key, Version: seen.version}},
-		Puts:  []platform.Put{{Key: key, Value: encode(lease)}},
+		Conds: []infra.Cond{{Key: key, Version: seen.version}},
+		Puts:  []infra.Put{{Key: key, Value: encode(lease)}},
 	})
 	if err != nil {
 		return
@@ -191,7 +191,7 @@
 	for {
 		rows := make(map[structs.JobID]structs.Job)
 		versions := make(map[structs.JobID]uint64)
-		err := t.m.scan(t.ctx, structs.JobShardPrefix(t.shard), func(r platform.Row) {
+		err := t.m.scan(t.ctx, structs.JobShardPrefix(t.shard), func(r infra.Row) {
 			var j structs.Job
 			if json.Unmarshal(r.Value, &j) != nil {
 				t.m.broken("job row %s can't be read", r.Key)
--- a/entry/batch/random_test.go
+++ b/entry/batch/random_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform/fault"
+	"persimmonrock.example/infra/fault"
 	"persimmonrock.example/structs"
 )
 
--- a/entry/batch/release_test.go
+++ b/entry/batch/release_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"persimmonrock.example/platform/fault"
+	"persimmonrock.example/infra/fault"
 	"persimmonrock.example/structs"
 )
 
--- a/entry/batch/route.go
+++ b/entry/batch/route.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -93,7 +93,7 @@
 		}
 	}
 	row, err := m.get(ctx, structs.JobKey(shard, id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return structs.Job{}, m.refuseNotFound(id, "get")
 	}
 	if err != nil {
--- a/entry/batch/scanpace_test.go
+++ b/entry/batch/scanpace_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
@@ -22,7 +22,7 @@
 		table := memory.NewTable()
 		renew := func(i, counter int) {
 			l := structs.AgentLease{Instance: structs.InstanceID(fmt.Sprint("i", i)), Incarnation: 1, Counter: uint64(counter), State: structs.LeaseActive, Length: structs.Duration(length)}
-			_, _ = table.Commit(t.Context(), platform.Txn{Op: fmt.Sprint(i, counter), Puts: []platform.Put{{Key: structs.AgentLeaseKey(l.Instance), Value: encode(l)}}})
+			_, _ = table.Commit(t.Context(), infra.Txn{Op: fmt.Sprint(i, counter), Puts: []infra.Put{{Key: structs.AgentLeaseKey(l.Instance), Value: encode(l)}}})
 		}
 		for i := range agents {
 			renew(i, 1)
--- a/entry/batch/sweep_test.go
+++ b/entry/batch/sweep_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/entry/batch/world_test.go
+++ b/entry/batch/world_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -328,11 +328,11 @@
 // served is the far side of an exchange as a table service, so that the
 // faults of both processes apply to it.
 type served struct {
-	platform.Table
+	infra.Table
 	run func()
 }
 
-func (s served) Commit(context.Context, platform.Txn) ([]uint64, error) {
+func (s served) Commit(context.Context, infra.Txn) ([]uint64, error) {
 	s.run()
 	return nil, nil
 }
@@ -344,7 +344,7 @@
 	d.w.wait.Go(func() {
 		var reply R
 		far := fault.NewTable(served{run: func() { run(&reply) }}, target)
-		if _, err := fault.NewTable(far, d.ctl).Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: "net"}}}); err != nil {
+		if _, err := fault.NewTable(far, d.ctl).Commit(ctx, infra.Txn{Puts: []infra.Put{{Key: "net"}}}); err != nil {
 			failed <- err
 			return
 		}
@@ -355,7 +355,7 @@
 	case reply := <-got:
 		return reply, nil
 	case err := <-failed:
-		return none, &wire.PeerError{Step: "test", Sent: !errors.Is(err, platform.ErrUnavailable), Err: err}
+		return none, &wire.PeerError{Step: "test", Sent: !errors.Is(err, infra.ErrUnavailable), Err: err}
 	case <-ctx.Done():
 		return none, &wire.PeerError{Step: "test", Sent: true, Err: ctx.Err()}
 	}
--- a/entry/batch/writer.go
+++ b/entry/batch/writer.go
@@ -8,13 +8,13 @@
 	"slices"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
 // maxJobRows is the number of job rows of one transaction; the shard row is
 // one more.
-const maxJobRows = platform.MaxTxnRows - 1
+const maxJobRows = infra.MaxTxnRows - 1
 
 // maxTxnBytes ends a transaction early when its payloads are large.
 const maxTxnBytes = 1 << 20
@@ -183,7 +183,7 @@
 			t.stop(errDrained)
 		}
 		return true
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 		t.m.count.flushesUnavailable.Add(1)
 		t.settle(v, taken, errNotApplied)
 		if v.release {
@@ -237,7 +237,7 @@
 
 // transaction builds the conditional write of v. The shard row is its first
 // condition and first put: that is the fence.
-func (t *tenure) transaction(v *view) (platform.Txn, structs.ShardLease) {
+func (t *tenure) transaction(v *view) (infra.Txn, structs.ShardLease) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	lease := t.lease
@@ -246,21 +246,21 @@
 		lease.Owner = ""
 	}
 	key := structs.ShardKey(t.shard)
-	txn := platform.Txn{
+	txn := infra.Txn{
 		Op:    string(t.m.cfg.Entry) + "/" + rand.Text(),
-		Conds: []platform.Cond{{Key: key, Version: t.version}},
-		Puts:  []platform.Put{{Key: key, Value: encode(lease)}},
+		Conds: []infra.Cond{{Key: key, Version: t.version}},
+		Puts:  []infra.Put{{Key: key, Value: encode(lease)}},
 	}
 	for _, id := range v.order {
 		rowKey := structs.JobKey(t.shard, id)
 		r := t.jobs[id]
 		switch {
 		case r == nil:
-			txn.Conds = append(txn.Conds, platform.Cond{Key: rowKey})
+			txn.Conds = append(txn.Conds, infra.Cond{Key: rowKey})
 		case r.version != 0:
-			txn.Conds = append(txn.Conds, platform.Cond{Key: rowKey, Version: r.version})
+			txn.Conds = append(txn.Conds, infra.Cond{Key: rowKey, Version: r.version})
 		}
-		txn.Puts = append(txn.Puts, platform.Put{Key: rowKey, Value: encode(v.jobs[id])})
+		txn.Puts = append(txn.Puts, infra.Put{Key: rowKey, Value: encode(v.jobs[id])})
 	}
 	for _, id := range v.expired {
 		txn.Deletes = append(txn.Deletes, structs.JobKey(t.shard, id))
@@ -281,7 +281,7 @@
 // ones impossible, however late they land. A refusal that names our own
 // operation is our success. A refusal that names another's after an unknown
 // attempt proves nothing: we may have been applied and replaced since.
-func (t *tenure) commit(txn platform.Txn) ([]uint64, error) {
+func (t *tenure) commit(txn infra.Txn) ([]uint64, error) {
 	unknown := false
 	defer t.setStalled(false)
 	for {
@@ -289,18 +289,18 @@
 		t.m.count.writes.Add(1)
 		versions, err := t.m.deps.Table.Commit(ctx, txn)
 		cancel()
-		var conflict *platform.ConflictError
+		var conflict *infra.ConflictError
 		switch {
 		case err == nil:
 			return versions, nil
 		case errors.As(err, &conflict):
 			return t.refused(txn, conflict, unknown)
-		case errors.Is(err, platform.ErrUnavailable) && !unknown:
+		case errors.Is(err, infra.ErrUnavailable) && !unknown:
 			return nil, err
-		case errors.Is(err, platform.ErrInvalid):
+		case errors.Is(err, infra.ErrInvalid):
 			t.m.broken("the table service refuses a transaction as invalid: %v", err)
-			return nil, platform.ErrUnavailable
-		case !errors.Is(err, platform.ErrUnavailable) && !unknown:
+			return nil, infra.ErrUnavailable
+		case !errors.Is(err, infra.ErrUnavailable) && !unknown:
 			unknown = true
 			t.m.count.commitsUnknown.Add(1)
 			t.setStalled(true)
@@ -311,7 +311,7 @@
 	}
 }
 
-func (t *tenure) refused(txn platform.Txn, conflict *platform.ConflictError, unknown bool) ([]uint64, error) {
+func (t *tenure) refused(txn infra.Txn, conflict *infra.ConflictError, unknown bool) ([]uint64, error) {
 	if conflict.Current.Op == txn.Op {
 		t.m.count.commitsFoundApplied.Add(1)
 		return t.readFence(txn)
@@ -330,7 +330,7 @@
 // readFence reads the version that a transaction with a lost answer gave the
 // shard row. The job rows' versions stay unknown: the next write of such a
 // row relies on the fence alone.
-func (t *tenure) readFence(txn platform.Txn) ([]uint64, error) {
+func (t *tenure) readFence(txn infra.Txn) ([]uint64, error) {
 	for {
 		row, err := t.m.get(t.ctx, structs.ShardKey(t.shard))
 		if err == nil && row.Op == txn.Op {
--- a/entry/contracts/change.go
+++ b/entry/contracts/change.go
@@ -10,8 +10,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
 	"persimmonrock.example/structs"
 )
 
@@ -55,7 +55,7 @@
 			continue
 		case errors.As(err, &refused):
 			return 0, refused
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, infra.ErrUnavailable):
 			return 0, storeRefusal(structs.NotRun, "the table service is not available; nothing was changed")
 		default:
 			return 0, storeRefusal(structs.Unknown, "the change may or may not have been accepted; repeat it with the same Operation-Id")
@@ -93,9 +93,9 @@
 		return 0, err
 	}
 	next := revision.Next(configtable.Changed{Customer: c.Customer, Removed: c.Contract == nil})
-	txn := platform.Txn{
+	txn := infra.Txn{
 		Op: fmt.Sprintf("config/%s/%d", c.Operation, next.Revision),
-		Conds: []platform.Cond{
+		Conds: []infra.Cond{
 			{Key: structs.RevisionKey, Version: revisionVersion},
 			{Key: structs.OperationsKey, Version: operationsVersion},
 			{Key: structs.ContractKey(c.Customer), Version: version},
@@ -104,9 +104,9 @@
 	if err := addPuts(&txn, c, next, operations.with(c, next.Revision)); err != nil {
 		return 0, err
 	}
-	_, err = platform.CommitOnce(ctx, s.table, txn)
-	var conflict *platform.ConflictError
-	var superseded *platform.SupersededError
+	_, err = infra.CommitOnce(ctx, s.table, txn)
+	var conflict *infra.ConflictError
+	var superseded *infra.SupersededError
 	if errors.As(err, &conflict) || errors.As(err, &superseded) {
 		// A superseded change is decided: the recent operations say whether
 		// it took effect before the change that superseded it.
@@ -155,8 +155,8 @@
 
 // readFailed marks a failed read as proof that nothing was changed.
 func readFailed(err error) error {
-	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) {
-		return platform.ErrUnavailable
+	if errors.Is(err, infra.ErrUnknown) || errors.Is(err, context.DeadlineExceeded) {
+		return infra.ErrUnavailable
 	}
 	return err
 }
@@ -180,7 +180,7 @@
 		Detail: fmt.Sprintf("the contract of %s is at revision %d now", c.Customer, current.Revision), Step: "contracts.apply"}
 }
 
-func addPuts(txn *platform.Txn, c Change, next configtable.RevisionRow, operations operationsRow) error {
+func addPuts(txn *infra.Txn, c Change, next configtable.RevisionRow, operations operationsRow) error {
 	if err := addPut(txn, structs.RevisionKey, next); err != nil {
 		return err
 	}
@@ -197,11 +197,11 @@
 	return addPut(txn, structs.ContractKey(c.Customer), accepted)
 }
 
-func addPut(txn *platform.Txn, key string, value any) error {
+func addPut(txn *infra.Txn, key string, value any) error {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrapf(err, "contracts: encode row %s", key)
 	}
-	txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: encoded})
+	txn.Puts = append(txn.Puts, infra.Put{Key: key, Value: encoded})
 	return nil
 }
--- a/entry/contracts/contracts_test.go
+++ b/entry/contracts/contracts_test.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
@@ -23,7 +23,7 @@
 	faults *fault.Control
 }
 
-func newNode(table platform.Table, peers Peers, seed uint64) *node {
+func newNode(table infra.Table, peers Peers, seed uint64) *node {
 	c := fault.NewControl(seed)
 	return &node{New(fault.NewTable(table, c), peers, structs.NoEvents{}, zerolog.Nop(), Options{}), c}
 }
--- a/entry/contracts/operations.go
+++ b/entry/contracts/operations.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
 	"persimmonrock.example/structs"
 )
 
@@ -31,7 +31,7 @@
 // them.
 func (s *Store) readOperations(ctx context.Context, revision configtable.RevisionRow) (operationsRow, uint64, error) {
 	row, err := s.table.Get(ctx, structs.OperationsKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return operationsRow{Recent: revision.Recent}, 0, nil
 	}
 	if err != nil {
--- a/entry/contracts/reader_test.go
+++ b/entry/contracts/reader_test.go
@@ -9,25 +9,25 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
 // between runs a step before each read of a reader.
 type between struct {
-	platform.Table
+	infra.Table
 	step  func()
 	scans int
 }
 
-func (b *between) Get(ctx context.Context, key string) (platform.Row, error) {
+func (b *between) Get(ctx context.Context, key string) (infra.Row, error) {
 	b.step()
 	return b.Table.Get(ctx, key)
 }
 
-func (b *between) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (b *between) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	b.step()
 	b.scans++
 	return b.Table.Scan(ctx, prefix, after, limit)
@@ -120,7 +120,7 @@
 		t.Helper()
 		contract, _ := json.Marshal(structs.Contract{Customer: "kowhai", Share: 0.1, Revision: r})
 		row, _ := json.Marshal(map[string]any{"revision": r, "recent": []map[string]any{{"id": id, "customer": "kowhai", "revision": r}}})
-		if _, err := table.Commit(t.Context(), platform.Txn{Op: id, Puts: []platform.Put{{Key: structs.RevisionKey, Value: row}, {Key: structs.ContractKey("kowhai"), Value: contract}}}); err != nil {
+		if _, err := table.Commit(t.Context(), infra.Txn{Op: id, Puts: []infra.Put{{Key: structs.RevisionKey, Value: row}, {Key: structs.ContractKey("kowhai"), Value: contract}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/entry/contracts/since_test.go
+++ b/entry/contracts/since_test.go
@@ -7,8 +7,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform/configtable"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/configtable"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
--- a/entry/contracts/store.go
+++ b/entry/contracts/store.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/configtable"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/configtable"
 	"persimmonrock.example/structs"
 )
 
@@ -45,7 +45,7 @@
 // Store reads and changes the configuration in the table service.
 type Store struct {
 	View
-	table  platform.Table
+	table  infra.Table
 	peers  Peers
 	events structs.Recorder
 	log    zerolog.Logger
@@ -64,7 +64,7 @@
 }
 
 // New returns a store without a configuration; Run brings the first one.
-func New(table platform.Table, peers Peers, events structs.Recorder, log zerolog.Logger, opts Options) *Store {
+func New(table infra.Table, peers Peers, events structs.Recorder, log zerolog.Logger, opts Options) *Store {
 	if opts.Poll == 0 {
 		opts.Poll = DefaultPoll
 	}
--- a/entry/directory/membership.go
+++ b/entry/directory/membership.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -49,7 +49,7 @@
 // service. While the service is down the last list stands.
 type Members struct {
 	self  memberRow
-	table platform.Table
+	table infra.Table
 	dir   *Directory
 
 	mu      sync.Mutex
@@ -60,7 +60,7 @@
 }
 
 // NewMembers returns a list that holds only this entry.
-func NewMembers(id structs.EntryID, address string, table platform.Table, dir *Directory) *Members {
+func NewMembers(id structs.EntryID, address string, table infra.Table, dir *Directory) *Members {
 	return &Members{self: memberRow{Entry: id, Address: address}, table: table, dir: dir, seen: make(map[string]*sighting)}
 }
 
@@ -93,7 +93,7 @@
 	}
 	m.Writes.Add(1)
 	// The put is unconditional: only this entry writes its own row.
-	_, err = m.table.Commit(ctx, platform.Txn{Op: rand.Text(), Puts: []platform.Put{{Key: memberPrefix + string(row.Entry), Value: value}}})
+	_, err = m.table.Commit(ctx, infra.Txn{Op: rand.Text(), Puts: []infra.Put{{Key: memberPrefix + string(row.Entry), Value: value}}})
 	if err != nil {
 		return eris.Wrap(err, "members: write own row to table")
 	}
@@ -108,7 +108,7 @@
 }
 
 // take notes which rows changed.
-func (m *Members) take(rows []platform.Row, now time.Time) {
+func (m *Members) take(rows []infra.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var addresses []string
@@ -136,16 +136,16 @@
 // conditional, so an entry that was only slow is never deleted.
 func (m *Members) forget(ctx context.Context, now time.Time) {
 	m.mu.Lock()
-	var old []platform.Cond
+	var old []infra.Cond
 	for key, s := range m.seen {
 		if now.Sub(s.changed) > memberForget*memberSilence {
-			old = append(old, platform.Cond{Key: key, Version: s.version})
+			old = append(old, infra.Cond{Key: key, Version: s.version})
 			delete(m.seen, key)
 		}
 	}
 	m.mu.Unlock()
 	for _, c := range old {
-		_, _ = m.table.Commit(ctx, platform.Txn{Op: fmt.Sprintf("forget/%s/%d", c.Key, c.Version), Conds: []platform.Cond{c}, Deletes: []string{c.Key}})
+		_, _ = m.table.Commit(ctx, infra.Txn{Op: fmt.Sprintf("forget/%s/%d", c.Key, c.Version), Conds: []infra.Cond{c}, Deletes: []string{c.Key}})
 	}
 }
 
@@ -166,6 +166,6 @@
 
 // Leave deletes the own row at a planned stop.
 func (m *Members) Leave(ctx context.Context) error {
-	_, err := m.table.Commit(ctx, platform.Txn{Op: rand.Text(), Deletes: []string{memberPrefix + string(m.self.Entry)}})
+	_, err := m.table.Commit(ctx, infra.Txn{Op: rand.Text(), Deletes: []string{memberPrefix + string(m.self.Entry)}})
 	return err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,7 +21,7 @@
 	"persimmonrock.example/entry/model"
 	"persimmonrock.example/entry/retention"
 	"persimmonrock.example/entry/urgent"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -76,8 +76,8 @@
 
 // Deps are what an entry works with.
 type Deps struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   infra.Table
+	Objects infra.Objects
 	Peers   wire.Dialer
 	Events  Timeline
 	Log     zerolog.Logger
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -15,11 +15,11 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/ops/events"
 	"persimmonrock.example/ops/keys"
 	"persimmonrock.example/ops/problem"
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/structs/api"
 	"persimmonrock.example/wire"
@@ -98,15 +98,15 @@
 
 // rows returns the whole table. Leases are renewed all the time, so only their
 // keys are compared.
-func (s *site) rows() map[string]platform.Row {
-	all := make(map[string]platform.Row)
+func (s *site) rows() map[string]infra.Row {
+	all := make(map[string]infra.Row)
 	list, err := s.table.Scan(s.t.Context(), "", "", 10_000)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	for _, r := range list {
 		if strings.HasPrefix(r.Key, structs.ShardPrefix) || strings.HasPrefix(r.Key, "entry/") {
-			r = platform.Row{Key: r.Key}
+			r = infra.Row{Key: r.Key}
 		}
 		all[r.Key] = r
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/structs/api"
 )
@@ -135,7 +135,7 @@
 	body, err := e.deps.Objects.Get(ctx, job.Result)
 	if err != nil {
 		status, kind := http.StatusServiceUnavailable, structs.RefusedStore
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, infra.ErrNotFound) {
 			status, kind = http.StatusInternalServerError, structs.RefusedInternal
 		}
 		return &structs.Refusal{Type: kind, Status: status, Outcome: structs.NotRun,
--- a/entry/retention/retention.go
+++ b/entry/retention/retention.go
@@ -20,7 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -63,7 +63,7 @@
 
 // Counter is one entry's view of the count. It is safe for concurrent use.
 type Counter struct {
-	table  platform.Table
+	table  infra.Table
 	key    string
 	period time.Duration
 
@@ -82,7 +82,7 @@
 
 // New returns a counter for one sort of rows, which are kept for at least the
 // given time.
-func New(table platform.Table, sort string, kept time.Duration) *Counter {
+func New(table infra.Table, sort string, kept time.Duration) *Counter {
 	return &Counter{table: table, key: structs.RetentionKey(sort), period: kept / Keep}
 }
 
@@ -126,7 +126,7 @@
 	defer cancel()
 	began := now()
 	found, err := c.table.Get(ctx, c.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return eris.Wrap(err, "retention: read the count from table")
 	}
 	next, due, err := c.take(found, began)
@@ -137,7 +137,7 @@
 }
 
 // take notes what was read and returns the next row if it is due.
-func (c *Counter) take(found platform.Row, began instant) (next row, due bool, err error) {
+func (c *Counter) take(found infra.Row, began instant) (next row, due bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var read row
@@ -161,12 +161,12 @@
 	if err != nil {
 		return eris.Wrap(err, "retention: encode the count")
 	}
-	_, err = c.table.Commit(ctx, platform.Txn{
+	_, err = c.table.Commit(ctx, infra.Txn{
 		Op:    fmt.Sprintf("%s/%d", c.key, next.Epoch),
-		Conds: []platform.Cond{{Key: c.key, Version: version}},
-		Puts:  []platform.Put{{Key: c.key, Value: value}},
+		Conds: []infra.Cond{{Key: c.key, Version: version}},
+		Puts:  []infra.Put{{Key: c.key, Value: value}},
 	})
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
--- a/entry/urgent/call_test.go
+++ b/entry/urgent/call_test.go
@@ -13,7 +13,7 @@
 
 	"persimmonrock.example/entry/directory"
 	"persimmonrock.example/entry/model"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/entry/urgent/group.go
+++ b/entry/urgent/group.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // How record writes are gathered.
@@ -29,7 +29,7 @@
 // recordWrite is the conditional write of one record.
 type recordWrite struct {
 	ctx   context.Context
-	cond  platform.Cond
+	cond  infra.Cond
 	value []byte
 	done  chan written
 	// taken is set when it goes into a transaction, or is dropped.
@@ -45,7 +45,7 @@
 // groupWriter gathers the writes of several records into one transaction. Each
 // write has its own outcome, as if it had been sent alone.
 type groupWriter struct {
-	table platform.Table
+	table infra.Table
 	life  context.Context
 	// rows bounds the records of one transaction.
 	rows int
@@ -60,16 +60,16 @@
 	Transactions, Alone atomic.Int64
 }
 
-func newGroupWriter(life context.Context, table platform.Table) *groupWriter {
-	return &groupWriter{table: table, life: life, rows: platform.MaxTxnRows}
+func newGroupWriter(life context.Context, table infra.Table) *groupWriter {
+	return &groupWriter{table: table, life: life, rows: infra.MaxTxnRows}
 }
 
 // write writes a record on the condition of its version and returns the new
-// version. Errors are those of platform.CommitOnce. An end waits longer for
+// version. Errors are those of infra.CommitOnce. An end waits longer for
 // others than a begin does.
-func (g *groupWriter) write(ctx context.Context, cond platform.Cond, value []byte, end bool) (uint64, error) {
+func (g *groupWriter) write(ctx context.Context, cond infra.Cond, value []byte, end bool) (uint64, error) {
 	// One key that the store refuses would refuse the whole transaction.
-	if err := platform.CheckKey(cond.Key); err != nil {
+	if err := infra.CheckKey(cond.Key); err != nil {
 		return 0, err
 	}
 	w := &recordWrite{ctx: ctx, cond: cond, value: value, done: make(chan written, 1)}
@@ -78,7 +78,7 @@
 	case o := <-w.done:
 		return o.version, o.err
 	case <-ctx.Done():
-		return 0, eris.Wrapf(platform.ErrUnknown, "write record %s: %v", cond.Key, ctx.Err())
+		return 0, eris.Wrapf(infra.ErrUnknown, "write record %s: %v", cond.Key, ctx.Err())
 	}
 }
 
@@ -178,7 +178,7 @@
 		ctx, cancel := context.WithTimeout(g.life, beginTimeout)
 		versions, err := g.table.Commit(ctx, transaction(op, ws))
 		cancel()
-		var conflict *platform.ConflictError
+		var conflict *infra.ConflictError
 		switch {
 		case err == nil:
 			for i, w := range ws {
@@ -187,7 +187,7 @@
 			return
 		case errors.As(err, &conflict) && conflict.Current.Op != op && names(ws, conflict.Current.Key):
 			ws = refuse(ws, conflict)
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, infra.ErrUnavailable):
 			for _, w := range ws {
 				w.done <- written{err: err}
 			}
@@ -205,7 +205,7 @@
 // need be.
 func (g *groupWriter) alone(op string, w *recordWrite) {
 	g.Alone.Add(1)
-	versions, err := platform.CommitAgain(w.ctx, g.table, transaction(op, []*recordWrite{w}))
+	versions, err := infra.CommitAgain(w.ctx, g.table, transaction(op, []*recordWrite{w}))
 	if err != nil {
 		w.done <- written{err: err}
 		return
@@ -213,11 +213,11 @@
 	w.done <- written{version: versions[0]}
 }
 
-func transaction(op string, ws []*recordWrite) platform.Txn {
-	t := platform.Txn{Op: op}
+func transaction(op string, ws []*recordWrite) infra.Txn {
+	t := infra.Txn{Op: op}
 	for _, w := range ws {
 		t.Conds = append(t.Conds, w.cond)
-		t.Puts = append(t.Puts, platform.Put{Key: w.cond.Key, Value: w.value})
+		t.Puts = append(t.Puts, infra.Put{Key: w.cond.Key, Value: w.value})
 	}
 	return t
 }
@@ -232,7 +232,7 @@
 }
 
 // refuse gives the conflict to the record that it names and returns the rest.
-func refuse(ws []*recordWrite, conflict *platform.ConflictError) (rest []*recordWrite) {
+func refuse(ws []*recordWrite, conflict *infra.ConflictError) (rest []*recordWrite) {
 	for _, w := range ws {
 		if w.cond.Key == conflict.Current.Key {
 			w.done <- written{err: conflict}
--- a/entry/urgent/group_test.go
+++ b/entry/urgent/group_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 )
 
@@ -29,19 +29,19 @@
 }
 
 // check compares what a writer was told with the row, after all has landed.
-func (e end) check(t *testing.T, name string, table platform.Table) {
+func (e end) check(t *testing.T, name string, table infra.Table) {
 	row, err := table.Get(context.Background(), e.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		t.Fatal(err)
 	}
 	ours := bytes.Equal(row.Value, e.value)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case e.err == nil && (!ours || row.Version != e.version):
 		t.Errorf("%s: %s was reported as written at version %d, the row is %q at %d", name, e.key, e.version, row.Value, row.Version)
 	case errors.As(e.err, &conflict) && conflict.Current.Key != e.key:
 		t.Errorf("%s: %s got the conflict of %s", name, e.key, conflict.Current.Key)
-	case (errors.As(e.err, &conflict) || errors.Is(e.err, platform.ErrUnavailable)) && ours:
+	case (errors.As(e.err, &conflict) || errors.Is(e.err, infra.ErrUnavailable)) && ours:
 		t.Errorf("%s: %s was reported as not written (%v), and it is", name, e.key, e.err)
 	}
 }
@@ -62,7 +62,7 @@
 			random := rand.New(rand.NewPCG(seed, 1))
 			if random.IntN(2) == 0 {
 				used := structs.CallKey("kowhai", "key-2")
-				if _, err := inner.Commit(life, platform.Txn{Op: "other", Puts: []platform.Put{{Key: used, Value: []byte("other")}}}); err != nil {
+				if _, err := inner.Commit(life, infra.Txn{Op: "other", Puts: []infra.Put{{Key: used, Value: []byte("other")}}}); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -80,7 +80,7 @@
 					time.Sleep(delay)
 					ctx, cancel := context.WithTimeout(life, beginTimeout)
 					defer cancel()
-					e.version, e.err = g.write(ctx, platform.Cond{Key: e.key}, e.value, i%2 == 1)
+					e.version, e.err = g.write(ctx, infra.Cond{Key: e.key}, e.value, i%2 == 1)
 				})
 			}
 			all.Wait()
@@ -108,7 +108,7 @@
 			life, stop := context.WithCancel(t.Context())
 			defer stop()
 			g := newGroupWriter(life, fault.NewTable(inner, control))
-			if _, err := inner.Commit(life, platform.Txn{Op: "other", Puts: []platform.Put{{Key: "call/kowhai/2", Value: []byte("other")}}}); err != nil {
+			if _, err := inner.Commit(life, infra.Txn{Op: "other", Puts: []infra.Put{{Key: "call/kowhai/2", Value: []byte("other")}}}); err != nil {
 				t.Fatal(err)
 			}
 			var group []*recordWrite
@@ -116,7 +116,7 @@
 			defer cancel()
 			for i := range 8 {
 				key := fmt.Sprint("call/kowhai/", i)
-				group = append(group, &recordWrite{ctx: ctx, cond: platform.Cond{Key: key}, value: []byte(key), done: make(chan written, 1)})
+				group = append(group, &recordWrite{ctx: ctx, cond: infra.Cond{Key: key}, value: []byte(key), done: make(chan written, 1)})
 			}
 			g.commit(group)
 			for i, w := range group {
--- a/entry/urgent/record.go
+++ b/entry/urgent/record.go
@@ -13,7 +13,7 @@
 
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -68,7 +68,7 @@
 
 // Records keeps the records of keyed calls in the table service.
 type Records struct {
-	table  platform.Table
+	table  infra.Table
 	epochs Epochs
 	group  *groupWriter
 	events structs.Recorder
@@ -89,7 +89,7 @@
 
 // NewRecords returns a record store on table. Without epochs its records are
 // not stamped.
-func NewRecords(table platform.Table, epochs Epochs, events structs.Recorder, log zerolog.Logger) *Records {
+func NewRecords(table infra.Table, epochs Epochs, events structs.Recorder, log zerolog.Logger) *Records {
 	life, end := context.WithCancel(context.Background())
 	return &Records{table: table, epochs: epochs, group: newGroupWriter(life, table), events: events, log: log, life: life, end: end}
 }
@@ -119,7 +119,7 @@
 		record: callRecord{State: callStarted, Attempt: rand.Text(), Request: q.ID, Digest: digest(q)},
 	}
 	err := r.write(ctx, c, callStarted)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	if errors.As(err, &conflict) {
 		return r.found(ctx, c, conflict.Current)
 	}
@@ -127,11 +127,11 @@
 		r.Begun.Add(1)
 		return c, nil, nil
 	}
-	if errors.Is(err, platform.ErrInvalid) {
+	if errors.Is(err, infra.ErrInvalid) {
 		return nil, nil, &structs.Refusal{Type: structs.RefusedBadRequest, Status: 400, Outcome: structs.NotRun,
 			Detail: "the Idempotency-Key can't be the name of a record", Step: "call.record"}
 	}
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, infra.ErrUnavailable) {
 		// The insert may still land. Nothing was sent and nothing will be, so
 		// the record is turned to not_run as soon as the store answers.
 		r.Abandon(c)
@@ -142,7 +142,7 @@
 }
 
 // found judges the record of an earlier attempt.
-func (r *Records) found(ctx context.Context, c *Claim, row platform.Row) (*Claim, *Answer, *structs.Refusal) {
+func (r *Records) found(ctx context.Context, c *Claim, row infra.Row) (*Claim, *Answer, *structs.Refusal) {
 	var earlier callRecord
 	if err := json.Unmarshal(row.Value, &earlier); err != nil {
 		return nil, nil, &structs.Refusal{Type: structs.RefusedInternal, Status: 500, Outcome: structs.Unknown,
@@ -171,11 +171,11 @@
 		r.Begun.Add(1)
 		return c, nil, nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	if errors.As(err, &conflict) {
 		return nil, nil, inDoubt()
 	}
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, infra.ErrUnavailable) {
 		r.Abandon(c)
 	}
 	return nil, nil, &structs.Refusal{Type: structs.RefusedStore, Status: 503, Outcome: structs.NotRun,
@@ -199,7 +199,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := r.group.write(ctx, platform.Cond{Key: c.key, Version: c.version}, value, state == callDone)
+	version, err := r.group.write(ctx, infra.Cond{Key: c.key, Version: c.version}, value, state == callDone)
 	if err == nil {
 		c.version = version
 	}
@@ -249,8 +249,8 @@
 	try, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
 	err := r.write(try, c, state)
-	var conflict *platform.ConflictError
-	if errors.Is(err, platform.ErrInvalid) {
+	var conflict *infra.ConflictError
+	if errors.Is(err, infra.ErrInvalid) {
 		r.Dropped.Add(1)
 		return true
 	}
--- a/entry/urgent/server.go
+++ b/entry/urgent/server.go
@@ -9,7 +9,7 @@
 
 	"persimmonrock.example/entry/directory"
 	"persimmonrock.example/entry/model"
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -71,7 +71,7 @@
 type Deps struct {
 	Directory Directory
 	Peers     wire.Dialer
-	Table     platform.Table
+	Table     infra.Table
 	// Epochs stamps the records of keyed calls.
 	Epochs Epochs
 	Zone   structs.DataCentre
--- a/entry/urgent/sweep.go
+++ b/entry/urgent/sweep.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -81,7 +81,7 @@
 func (r *Records) sweepCustomer(ctx context.Context, c structs.Customer) bool {
 	prefix := structs.CallKey(c, "")
 	after := prefix
-	var expired []platform.Row
+	var expired []infra.Row
 	for {
 		rows, err := r.scan(ctx, prefix, after, sweepPage)
 		if err != nil {
@@ -93,7 +93,7 @@
 			}
 		}
 		last := len(rows) < sweepPage
-		if last || len(expired)+sweepPage > platform.MaxTxnRows {
+		if last || len(expired)+sweepPage > infra.MaxTxnRows {
 			r.delete(ctx, expired)
 			expired = nil
 		}
@@ -104,7 +104,7 @@
 	}
 }
 
-func (r *Records) scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (r *Records) scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	wait(ctx, sweepPause)
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
@@ -112,7 +112,7 @@
 }
 
 // expired reports whether a record may be deleted, and stamps it if need be.
-func (r *Records) expired(ctx context.Context, row platform.Row) bool {
+func (r *Records) expired(ctx context.Context, row infra.Row) bool {
 	var record callRecord
 	if json.Unmarshal(row.Value, &record) != nil {
 		return false
@@ -126,7 +126,7 @@
 
 // restamp gives a record the present epoch. A lost answer is of no account: the
 // next pass finds the stamp, or sets it.
-func (r *Records) restamp(ctx context.Context, row platform.Row, record callRecord) {
+func (r *Records) restamp(ctx context.Context, row infra.Row, record callRecord) {
 	record.Epoch = r.stamp()
 	value, err := json.Marshal(record)
 	if record.Epoch == 0 || err != nil {
@@ -134,10 +134,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
-	_, err = r.table.Commit(ctx, platform.Txn{
+	_, err = r.table.Commit(ctx, infra.Txn{
 		Op:    "call-stamp/" + rand.Text(),
-		Conds: []platform.Cond{{Key: row.Key, Version: row.Version}},
-		Puts:  []platform.Put{{Key: row.Key, Value: value}},
+		Conds: []infra.Cond{{Key: row.Key, Version: row.Version}},
+		Puts:  []infra.Put{{Key: row.Key, Value: value}},
 	})
 	if err == nil {
 		r.Stamped.Add(1)
@@ -150,17 +150,17 @@
 // Failure guarded against: a key is used again just as its record expires, and
 // the new record is deleted; the call could run twice. The delete is
 // conditional on the version that was read as expired.
-func (r *Records) delete(ctx context.Context, rows []platform.Row) {
+func (r *Records) delete(ctx context.Context, rows []infra.Row) {
 	for len(rows) > 0 {
-		txn := platform.Txn{Op: "call-sweep/" + rand.Text()}
+		txn := infra.Txn{Op: "call-sweep/" + rand.Text()}
 		for _, row := range rows {
-			txn.Conds = append(txn.Conds, platform.Cond{Key: row.Key, Version: row.Version})
+			txn.Conds = append(txn.Conds, infra.Cond{Key: row.Key, Version: row.Version})
 			txn.Deletes = append(txn.Deletes, row.Key)
 		}
 		try, cancel := context.WithTimeout(ctx, sweepTimeout)
 		_, err := r.table.Commit(try, txn)
 		cancel()
-		var conflict *platform.ConflictError
+		var conflict *infra.ConflictError
 		if !errors.As(err, &conflict) {
 			if err == nil {
 				r.Deleted.Add(int64(len(rows)))
@@ -171,8 +171,8 @@
 	}
 }
 
-func without(rows []platform.Row, key string) []platform.Row {
-	var out []platform.Row
+func without(rows []infra.Row, key string) []infra.Row {
+	var out []infra.Row
 	for _, row := range rows {
 		if row.Key != key {
 			out = append(out, row)
--- a/entry/urgent/sweep_test.go
+++ b/entry/urgent/sweep_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"persimmonrock.example/entry/retention"
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
@@ -33,7 +33,7 @@
 		call(server, "r-0", "unknown-epoch")
 		for _, key := range []string{structs.CallKey("kowhai", "old"), structs.CallKey("granite", "old")} {
 			value, _ := json.Marshal(callRecord{State: callDone, Attempt: key})
-			if _, err := table.Commit(ctx, platform.Txn{Op: key, Puts: []platform.Put{{Key: key, Value: value}}}); err != nil {
+			if _, err := table.Commit(ctx, infra.Txn{Op: key, Puts: []infra.Put{{Key: key, Value: value}}}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -70,7 +70,7 @@
 	records := newServer(&script{}, 1, false).Records()
 	records.table = table
 	put := func(key string) {
-		if _, err := table.Commit(t.Context(), platform.Txn{Op: key, Puts: []platform.Put{{Key: structs.CallPrefix + key, Value: []byte("{}")}}}); err != nil {
+		if _, err := table.Commit(t.Context(), infra.Txn{Op: key, Puts: []infra.Put{{Key: structs.CallPrefix + key, Value: []byte("{}")}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -87,7 +87,7 @@
 	}
 }
 
-func rowsOf(t *testing.T, table platform.Table) (keys []string) {
+func rowsOf(t *testing.T, table infra.Table) (keys []string) {
 	rows, err := table.Scan(t.Context(), structs.CallPrefix, "", 100)
 	if err != nil {
 		t.Fatal(err)
--- a/platform/commit_test.go
+++ b/infra/commit_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 )
 
 // TestMain fixes the seed of the randomised tests, so that the verdict never
@@ -49,8 +49,8 @@
 )
 
 func outcomeOf(err error) outcome {
-	var c *platform.ConflictError
-	var s *platform.SupersededError
+	var c *infra.ConflictError
+	var s *infra.SupersededError
 	switch {
 	case err == nil:
 		return applied
@@ -60,11 +60,11 @@
 		return superseded
 	case errors.As(err, &s):
 		return hidden
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 		return unavailable
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, infra.ErrInvalid):
 		return invalid
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, infra.ErrUnknown):
 		return unknown
 	}
 	return outcome(err.Error())
@@ -137,13 +137,13 @@
 	for _, key := range []string{fence, job} {
 		overwrite(t, inner, key)
 	}
-	txn := platform.Txn{Op: mine, Conds: []platform.Cond{{Key: job, Version: 2}, {Key: fence, Version: 1}}}
+	txn := infra.Txn{Op: mine, Conds: []infra.Cond{{Key: job, Version: 2}, {Key: fence, Version: 1}}}
 	if !slices.Contains(s.raise, fence) {
 		// The row that is only checked comes first, so that a repeat breaks on it.
 		slices.Reverse(txn.Conds)
 	}
 	for _, key := range s.raise {
-		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: []byte(mine)})
+		txn.Puts = append(txn.Puts, infra.Put{Key: key, Value: []byte(mine)})
 	}
 	control := fault.NewControl(1)
 	control.Set(s.plan)
@@ -155,7 +155,7 @@
 			overwrite(t, inner, key)
 		}
 	})
-	versions, err := platform.CommitOnce(ctx, fault.NewTable(inner, control), txn)
+	versions, err := infra.CommitOnce(ctx, fault.NewTable(inner, control), txn)
 	synctest.Wait()
 	control.Release()
 	control.Wait()
@@ -176,26 +176,26 @@
 	}
 	// The caller comes back to it later and learns that it was applied.
 	control.Heal()
-	if _, err := platform.CommitAgain(t.Context(), fault.NewTable(inner, control), txn); err != nil {
+	if _, err := infra.CommitAgain(t.Context(), fault.NewTable(inner, control), txn); err != nil {
 		t.Errorf("later: %v, want success", err)
 	}
 }
 
 // overwrite changes a row as another process does.
-func overwrite(t *testing.T, tab platform.Table, key string) {
-	txn := platform.Txn{Op: "other", Puts: []platform.Put{{Key: key, Value: []byte("other")}}}
+func overwrite(t *testing.T, tab infra.Table, key string) {
+	txn := infra.Txn{Op: "other", Puts: []infra.Put{{Key: key, Value: []byte("other")}}}
 	if _, err := tab.Commit(t.Context(), txn); err != nil {
 		t.Error(err)
 	}
 }
 
 func TestCommitOnceRefusesWhatItCannotRepeat(t *testing.T) {
-	puts := []platform.Put{{Key: job}}
-	for name, txn := range map[string]platform.Txn{
-		"no operation ID":               {Conds: []platform.Cond{{Key: job}}, Puts: puts},
-		"no condition on a row it puts": {Op: mine, Conds: []platform.Cond{{Key: fence}}, Puts: puts},
+	puts := []infra.Put{{Key: job}}
+	for name, txn := range map[string]infra.Txn{
+		"no operation ID":               {Conds: []infra.Cond{{Key: job}}, Puts: puts},
+		"no condition on a row it puts": {Op: mine, Conds: []infra.Cond{{Key: fence}}, Puts: puts},
 	} {
-		if _, err := platform.CommitOnce(t.Context(), memory.NewTable(), txn); outcomeOf(err) != invalid {
+		if _, err := infra.CommitOnce(t.Context(), memory.NewTable(), txn); outcomeOf(err) != invalid {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/platform/configtable/reader.go
+++ b/infra/configtable/reader.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -21,7 +21,7 @@
 
 // Newer returns the configuration of the table service, or held if that is not
 // above held. Errors leave the caller with what it holds.
-func Newer(ctx context.Context, t platform.Table, held structs.Config) (structs.Config, error) {
+func Newer(ctx context.Context, t infra.Table, held structs.Config) (structs.Config, error) {
 	for attempt := 0; ; attempt++ {
 		row, _, err := ReadRevision(ctx, t)
 		if err != nil || row.Revision <= held.Revision {
@@ -54,7 +54,7 @@
 // the revision row and that of the contract; the reader would then hold a mix
 // of two revisions. Each row must carry the very revision that the revision
 // row named for it, or be absent where that named a removal.
-func readChanged(ctx context.Context, t platform.Table, changes map[structs.Customer]last) (change structs.ConfigChange, still bool, err error) {
+func readChanged(ctx context.Context, t infra.Table, changes map[structs.Customer]last) (change structs.ConfigChange, still bool, err error) {
 	for _, customer := range slices.Sorted(maps.Keys(changes)) {
 		want := changes[customer]
 		contract, version, err := ReadContract(ctx, t, customer)
@@ -77,7 +77,7 @@
 // scan reads all contracts at revision r. The revision is read again at the
 // end; still is false if it has moved, since the pages may then be of several
 // revisions.
-func scan(ctx context.Context, t platform.Table, r structs.Revision) (config structs.Config, still bool, err error) {
+func scan(ctx context.Context, t infra.Table, r structs.Revision) (config structs.Config, still bool, err error) {
 	config = structs.Config{Revision: r, Contracts: make(map[structs.Customer]structs.Contract)}
 	for after, full := "", true; full; {
 		rows, err := t.Scan(ctx, structs.ContractPrefix, after, scanPage)
--- a/platform/configtable/row.go
+++ b/infra/configtable/row.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -81,9 +81,9 @@
 }
 
 // ReadRevision reads the revision row and its version, 0 if there is none.
-func ReadRevision(ctx context.Context, t platform.Table) (RevisionRow, uint64, error) {
+func ReadRevision(ctx context.Context, t infra.Table) (RevisionRow, uint64, error) {
 	row, err := t.Get(ctx, structs.RevisionKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return RevisionRow{Revision: FirstRevision}, 0, nil
 	}
 	if err != nil {
@@ -98,9 +98,9 @@
 
 // ReadContract reads one customer's contract and its version, 0 if there is
 // none.
-func ReadContract(ctx context.Context, t platform.Table, customer structs.Customer) (structs.Contract, uint64, error) {
+func ReadContract(ctx context.Context, t infra.Table, customer structs.Customer) (structs.Contract, uint64, error) {
 	row, err := t.Get(ctx, structs.ContractKey(customer))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return structs.Contract{}, 0, nil
 	}
 	if err != nil {
@@ -110,7 +110,7 @@
 	return c, row.Version, err
 }
 
-func decodeContract(row platform.Row) (structs.Contract, error) {
+func decodeContract(row infra.Row) (structs.Contract, error) {
 	var c structs.Contract
 	if err := json.Unmarshal(row.Value, &c); err != nil {
 		return structs.Contract{}, eris.Wrapf(err, "configuration: decode row %s", row.Key)
--- a/platform/fault/control_test.go
+++ b/infra/fault/control_test.go
@@ -7,13 +7,13 @@
 	"testing/synctest"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 )
 
-func put(ctx context.Context, tab platform.Table, key string) error {
-	_, err := tab.Commit(ctx, platform.Txn{Op: key, Puts: []platform.Put{{Key: key}}})
+func put(ctx context.Context, tab infra.Table, key string) error {
+	_, err := tab.Commit(ctx, infra.Txn{Op: key, Puts: []infra.Put{{Key: key}}})
 	return err
 }
 
@@ -34,7 +34,7 @@
 		ours, theirs := fault.NewTable(inner, control), fault.NewTable(inner, fault.NewControl(2))
 
 		control.Cut(true)
-		want(t, put(t.Context(), ours, "cut"), platform.ErrUnavailable, "cut off")
+		want(t, put(t.Context(), ours, "cut"), infra.ErrUnavailable, "cut off")
 		want(t, put(t.Context(), theirs, "theirs"), nil, "the other process")
 		control.Cut(false)
 
@@ -45,7 +45,7 @@
 		})
 		hasty, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		want(t, put(hasty, ours, "slow"), platform.ErrUnknown, "given up")
+		want(t, put(hasty, ours, "slow"), infra.ErrUnknown, "given up")
 		want(t, put(t.Context(), ours, "fast"), nil, "not matched")
 		if inner.Len() != 2 || control.Pending() != 1 {
 			t.Errorf("%d rows, %d pending before the slow write landed", inner.Len(), control.Pending())
@@ -56,7 +56,7 @@
 
 		control.Set(fault.Plan{Timeout: 1, Patience: fault.Exactly(time.Minute)})
 		_, err = ours.Get(t.Context(), "slow")
-		want(t, err, platform.ErrUnavailable, "read that times out")
+		want(t, err, infra.ErrUnavailable, "read that times out")
 		control.Heal()
 
 		control.Freeze()
@@ -64,7 +64,7 @@
 		time.AfterFunc(time.Hour, control.Unfreeze)
 		brief, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		want(t, put(brief, ours, "frozen"), platform.ErrUnavailable, "sent after the context ended")
+		want(t, put(brief, ours, "frozen"), infra.ErrUnavailable, "sent after the context ended")
 		if paused := time.Since(began); paused != time.Hour {
 			t.Errorf("a paused process went on after %v", paused)
 		}
@@ -88,7 +88,7 @@
 	first, counts := run()
 	second, _ := run()
 	for i := range first {
-		if errors.Is(first[i], platform.ErrUnknown) != errors.Is(second[i], platform.ErrUnknown) || (first[i] == nil) != (second[i] == nil) {
+		if errors.Is(first[i], infra.ErrUnknown) != errors.Is(second[i], infra.ErrUnknown) || (first[i] == nil) != (second[i] == nil) {
 			t.Fatalf("request %d: %v, then %v", i, first[i], second[i])
 		}
 	}
--- a/platform/fault/request.go
+++ b/infra/fault/request.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // request passes one request to the inner service as the control decides.
@@ -24,7 +24,7 @@
 	land := func() { _, _ = call(context.WithoutCancel(ctx)) }
 	switch v.fault {
 	case Down:
-		return none, eris.Wrapf(platform.ErrUnavailable, "%s %s: down", op.Service, op.Method)
+		return none, eris.Wrapf(infra.ErrUnavailable, "%s %s: down", op.Service, op.Method)
 	case Timeout:
 		wait(ctx, v.patience)
 		return none, timedOut(op)
@@ -59,9 +59,9 @@
 // timedOut is what a caller learns when no answer came. A read had no effect,
 // so it is as good as refused.
 func timedOut(op Operation) error {
-	err := platform.ErrUnavailable
+	err := infra.ErrUnavailable
 	if op.Write {
-		err = platform.ErrUnknown
+		err = infra.ErrUnknown
 	}
 	return eris.Wrapf(err, "%s %s: timed out", op.Service, op.Method)
 }
--- a/platform/fault/table.go
+++ b/infra/fault/table.go
@@ -4,36 +4,36 @@
 	"context"
 	"slices"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
-// Table is a platform.Table with faults.
+// Table is a infra.Table with faults.
 type Table struct {
-	inner   platform.Table
+	inner   infra.Table
 	control *Control
 }
 
 // NewTable returns inner with the faults of c.
-func NewTable(inner platform.Table, c *Control) *Table { return &Table{inner: inner, control: c} }
+func NewTable(inner infra.Table, c *Control) *Table { return &Table{inner: inner, control: c} }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	op := Operation{Service: "table", Method: "Get", Key: key}
-	return request(ctx, t.control, op, func(ctx context.Context) (platform.Row, error) {
+	return request(ctx, t.control, op, func(ctx context.Context) (infra.Row, error) {
 		return t.inner.Get(ctx, key)
 	})
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	op := Operation{Service: "table", Method: "Scan", Key: prefix}
-	return request(ctx, t.control, op, func(ctx context.Context) ([]platform.Row, error) {
+	return request(ctx, t.control, op, func(ctx context.Context) ([]infra.Row, error) {
 		return t.inner.Scan(ctx, prefix, after, limit)
 	})
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	op := Operation{Service: "table", Method: "Commit", Write: true}
 	if len(txn.Puts) > 0 {
 		op.Key = txn.Puts[0].Key
@@ -50,31 +50,31 @@
 	})
 }
 
-// Objects is a platform.Objects with faults.
+// Objects is a infra.Objects with faults.
 type Objects struct {
-	inner   platform.Objects
+	inner   infra.Objects
 	control *Control
 }
 
 // NewObjects returns inner with the faults of c.
-func NewObjects(inner platform.Objects, c *Control) *Objects {
+func NewObjects(inner infra.Objects, c *Control) *Objects {
 	return &Objects{inner: inner, control: c}
 }
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o *Objects) Put(ctx context.Context, key string, body []byte) error {
 	op := Operation{Service: "objects", Method: "Put", Key: key, Write: true}
 	body = slices.Clone(body)
 	return act(ctx, o.control, op, func(ctx context.Context) error { return o.inner.Put(ctx, key, body) })
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	op := Operation{Service: "objects", Method: "Get", Key: key}
 	return request(ctx, o.control, op, func(ctx context.Context) ([]byte, error) { return o.inner.Get(ctx, key) })
 }
 
-// Delete implements platform.Objects.
+// Delete implements infra.Objects.
 func (o *Objects) Delete(ctx context.Context, key string) error {
 	op := Operation{Service: "objects", Method: "Delete", Key: key, Write: true}
 	return act(ctx, o.control, op, func(ctx context.Context) error { return o.inner.Delete(ctx, key) })
--- a/platform/fault/worker.go
+++ b/infra/fault/worker.go
@@ -5,18 +5,18 @@
 	"slices"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
-// Worker is a platform.Worker with faults.
+// Worker is a infra.Worker with faults.
 type Worker struct {
-	inner   platform.Worker
+	inner   infra.Worker
 	control *Control
 }
 
 // NewWorker returns inner with the faults of c.
-func NewWorker(inner platform.Worker, c *Control) *Worker {
+func NewWorker(inner infra.Worker, c *Control) *Worker {
 	return &Worker{inner: inner, control: c}
 }
 
@@ -24,15 +24,15 @@
 	return Operation{Service: "worker", Method: method, Key: string(id), Write: true}
 }
 
-// Fence implements platform.Worker.
+// Fence implements infra.Worker.
 func (w *Worker) Fence(ctx context.Context, h structs.Incarnation) error {
 	return act(ctx, w.control, workerWrite("Fence", ""), func(ctx context.Context) error {
 		return w.inner.Fence(ctx, h)
 	})
 }
 
-// Start implements platform.Worker.
-func (w *Worker) Start(ctx context.Context, t platform.TaskStart) error {
+// Start implements infra.Worker.
+func (w *Worker) Start(ctx context.Context, t infra.TaskStart) error {
 	t.Payload = slices.Clone(t.Payload)
 	t.Checkpoint = slices.Clone(t.Checkpoint)
 	return act(ctx, w.control, workerWrite("Start", t.Job), func(ctx context.Context) error {
@@ -40,14 +40,14 @@
 	})
 }
 
-// Renew implements platform.Worker.
+// Renew implements infra.Worker.
 func (w *Worker) Renew(ctx context.Context, h structs.Incarnation, lease time.Duration) error {
 	return act(ctx, w.control, workerWrite("Renew", ""), func(ctx context.Context) error {
 		return w.inner.Renew(ctx, h, lease)
 	})
 }
 
-// Checkpoint implements platform.Worker.
+// Checkpoint implements infra.Worker.
 func (w *Worker) Checkpoint(ctx context.Context, id structs.JobID, e structs.Epoch) ([]byte, error) {
 	op := Operation{Service: "worker", Method: "Checkpoint", Key: string(id)}
 	return request(ctx, w.control, op, func(ctx context.Context) ([]byte, error) {
@@ -55,34 +55,34 @@
 	})
 }
 
-// Throttle implements platform.Worker.
+// Throttle implements infra.Worker.
 func (w *Worker) Throttle(ctx context.Context, id structs.JobID, e structs.Epoch, speed float64) error {
 	return act(ctx, w.control, workerWrite("Throttle", id), func(ctx context.Context) error {
 		return w.inner.Throttle(ctx, id, e, speed)
 	})
 }
 
-// Stop implements platform.Worker.
+// Stop implements infra.Worker.
 func (w *Worker) Stop(ctx context.Context, id structs.JobID, e structs.Epoch) error {
 	return act(ctx, w.control, workerWrite("Stop", id), func(ctx context.Context) error {
 		return w.inner.Stop(ctx, id, e)
 	})
 }
 
-// List implements platform.Worker.
-func (w *Worker) List(ctx context.Context) ([]platform.TaskStatus, error) {
+// List implements infra.Worker.
+func (w *Worker) List(ctx context.Context) ([]infra.TaskStatus, error) {
 	return request(ctx, w.control, Operation{Service: "worker", Method: "List"}, w.inner.List)
 }
 
-// Forget implements platform.Worker.
+// Forget implements infra.Worker.
 func (w *Worker) Forget(ctx context.Context, id structs.JobID, e structs.Epoch) error {
 	return act(ctx, w.control, workerWrite("Forget", id), func(ctx context.Context) error {
 		return w.inner.Forget(ctx, id, e)
 	})
 }
 
-// Usage implements platform.Worker. Fetching the reports drops them on the
+// Usage implements infra.Worker. Fetching the reports drops them on the
 // worker, so that a lost answer loses them.
-func (w *Worker) Usage(ctx context.Context) ([]platform.Usage, error) {
+func (w *Worker) Usage(ctx context.Context) ([]infra.Usage, error) {
 	return request(ctx, w.control, workerWrite("Usage", ""), w.inner.Usage)
 }
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,11 +1,11 @@
-// Package platform declares the narrow interfaces through which persimmonrock
+// Package infra declares the narrow interfaces through which persimmonrock
 // uses what the platform gives: a transactional table service, an object
 // store and the worker beside each agent.
 //
 // The table service is assumed to offer conditional transactions and nothing
 // more: no operation log and no leases. Each row remembers the operation that
 // wrote it, which is what makes a repeated write safe (see CommitOnce).
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/memory/counts.go
+++ b/infra/memory/counts.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // OperationCount says how often one kind of operation was served.
@@ -65,7 +65,7 @@
 }
 
 // describe names the kind of a transaction by the rows that it changes.
-func describe(txn platform.Txn) string {
+func describe(txn infra.Txn) string {
 	var parts []string
 	add := func(key string) {
 		if part := firstPart(key); !slices.Contains(parts, part) {
--- a/platform/memory/objects.go
+++ b/infra/memory/objects.go
@@ -9,10 +9,10 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
-// Objects is a platform.Objects in memory.
+// Objects is a infra.Objects in memory.
 type Objects struct {
 	mu     sync.RWMutex
 	bodies map[string][]byte
@@ -41,8 +41,8 @@
 	return len(o.bodies)
 }
 
-// Put implements platform.Objects. A put of another body under an existing
-// key is refused with platform.ErrInvalid and counted.
+// Put implements infra.Objects. A put of another body under an existing
+// key is refused with infra.ErrInvalid and counted.
 func (o *Objects) Put(ctx context.Context, key string, body []byte) error {
 	if err := ended(ctx); err != nil {
 		return err
@@ -55,13 +55,13 @@
 			return nil
 		}
 		o.rewrites.Add(1)
-		return eris.Wrapf(platform.ErrInvalid, "object put %s: another body is there", key)
+		return eris.Wrapf(infra.ErrInvalid, "object put %s: another body is there", key)
 	}
 	o.bodies[key] = slices.Clone(body)
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := ended(ctx); err != nil {
 		return nil, err
@@ -71,12 +71,12 @@
 	defer o.mu.RUnlock()
 	body, ok := o.bodies[key]
 	if !ok {
-		return nil, eris.Wrapf(platform.ErrNotFound, "object get %s", key)
+		return nil, eris.Wrapf(infra.ErrNotFound, "object get %s", key)
 	}
 	return append([]byte{}, body...), nil
 }
 
-// Delete implements platform.Objects; deleting an absent key is no error.
+// Delete implements infra.Objects; deleting an absent key is no error.
 func (o *Objects) Delete(ctx context.Context, key string) error {
 	if err := ended(ctx); err != nil {
 		return err
--- a/platform/memory/requests.go
+++ b/infra/memory/requests.go
@@ -8,11 +8,11 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
-// Renew implements platform.Worker. A task whose lease has lapsed stays
+// Renew implements infra.Worker. A task whose lease has lapsed stays
 // stopped.
 func (w *Worker) Renew(ctx context.Context, h structs.Incarnation, lease time.Duration) error {
 	w.mu.Lock()
@@ -28,7 +28,7 @@
 	return nil
 }
 
-// find returns the run of a job and epoch, or platform.ErrNotFound.
+// find returns the run of a job and epoch, or infra.ErrNotFound.
 func (w *Worker) find(ctx context.Context, id structs.JobID, e structs.Epoch) (*run, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -37,12 +37,12 @@
 	}
 	r, ok := w.runs[runID{job: id, epoch: e}]
 	if !ok {
-		return nil, eris.Wrapf(platform.ErrNotFound, "job %s epoch %d", id, e)
+		return nil, eris.Wrapf(infra.ErrNotFound, "job %s epoch %d", id, e)
 	}
 	return r, nil
 }
 
-// Checkpoint implements platform.Worker. It returns the state that the
+// Checkpoint implements infra.Worker. It returns the state that the
 // program saved last, also after the task's end; a program that saved nothing
 // has the state that it was started from.
 func (w *Worker) Checkpoint(ctx context.Context, id structs.JobID, e structs.Epoch) ([]byte, error) {
@@ -55,7 +55,7 @@
 	return slices.Clone(r.state), nil
 }
 
-// Throttle implements platform.Worker; speed is taken into 0 to 1.
+// Throttle implements infra.Worker; speed is taken into 0 to 1.
 func (w *Worker) Throttle(ctx context.Context, id structs.JobID, e structs.Epoch, speed float64) error {
 	r, err := w.find(ctx, id, e)
 	if err != nil {
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// Stop implements platform.Worker. It returns platform.ErrUnknown if ctx ends
+// Stop implements infra.Worker. It returns infra.ErrUnknown if ctx ends
 // before the task has stopped.
 func (w *Worker) Stop(ctx context.Context, id structs.JobID, e structs.Epoch) error {
 	w.mu.Lock()
@@ -82,25 +82,25 @@
 	return stopAll(ctx, []*run{r})
 }
 
-// List implements platform.Worker, in order of job and epoch.
-func (w *Worker) List(ctx context.Context) ([]platform.TaskStatus, error) {
+// List implements infra.Worker, in order of job and epoch.
+func (w *Worker) List(ctx context.Context) ([]infra.TaskStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.refuse(ctx, w.fence); err != nil {
 		return nil, err
 	}
-	list := make([]platform.TaskStatus, 0, len(w.runs))
+	list := make([]infra.TaskStatus, 0, len(w.runs))
 	for _, r := range w.runs {
 		list = append(list, r.status())
 	}
-	slices.SortFunc(list, func(a, b platform.TaskStatus) int {
+	slices.SortFunc(list, func(a, b infra.TaskStatus) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Epoch, b.Epoch))
 	})
 	return list, nil
 }
 
-// Forget implements platform.Worker. A task that still runs can't be
-// forgotten: platform.ErrInvalid.
+// Forget implements infra.Worker. A task that still runs can't be
+// forgotten: infra.ErrInvalid.
 func (w *Worker) Forget(ctx context.Context, id structs.JobID, e structs.Epoch) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -114,7 +114,7 @@
 		return nil
 	}
 	if !r.hasStopped() {
-		return eris.Wrapf(platform.ErrInvalid, "job %s epoch %d still runs", id, e)
+		return eris.Wrapf(infra.ErrInvalid, "job %s epoch %d still runs", id, e)
 	}
 	delete(w.runs, key)
 	w.refuseUpTo(id, e)
@@ -125,15 +125,15 @@
 // w.mu.
 func (w *Worker) refuseUpTo(id structs.JobID, e structs.Epoch) { w.over[id] = max(w.over[id], e) }
 
-// Usage implements platform.Worker, in order of job, epoch and window.
-func (w *Worker) Usage(ctx context.Context) ([]platform.Usage, error) {
+// Usage implements infra.Worker, in order of job, epoch and window.
+func (w *Worker) Usage(ctx context.Context) ([]infra.Usage, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.refuse(ctx, w.fence); err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	var reports []platform.Usage
+	var reports []infra.Usage
 	var open []*run
 	for _, r := range w.measured {
 		u, more := r.usage(now)
@@ -143,14 +143,14 @@
 		}
 	}
 	w.measured = open
-	slices.SortFunc(reports, func(a, b platform.Usage) int {
+	slices.SortFunc(reports, func(a, b infra.Usage) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.From, b.From))
 	})
 	return reports, nil
 }
 
 // Close stops every task as a failing instance does, waits for their ends,
-// and refuses every later request with platform.ErrUnavailable.
+// and refuses every later request with infra.ErrUnavailable.
 func (w *Worker) Close() {
 	w.mu.Lock()
 	w.closed = true
--- a/platform/memory/rows.go
+++ b/infra/memory/rows.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // maxChunk bounds how many rows one insertion has to move.
@@ -14,7 +14,7 @@
 // rows is a set of rows in key order, kept as a list of short sorted chunks.
 // No chunk is empty. It has no lock of its own.
 type rows struct {
-	chunks [][]*platform.Row
+	chunks [][]*infra.Row
 	count  int
 }
 
@@ -28,9 +28,9 @@
 	return chunk, place, found
 }
 
-func compareKey(r *platform.Row, key string) int { return strings.Compare(r.Key, key) }
+func compareKey(r *infra.Row, key string) int { return strings.Compare(r.Key, key) }
 
-func (r *rows) get(key string) *platform.Row {
+func (r *rows) get(key string) *infra.Row {
 	chunk, place, found := r.locate(key)
 	if !found {
 		return nil
@@ -38,7 +38,7 @@
 	return r.chunks[chunk][place]
 }
 
-func (r *rows) put(row *platform.Row) {
+func (r *rows) put(row *infra.Row) {
 	chunk, place, found := r.locate(row.Key)
 	if found {
 		r.chunks[chunk][place] = row
@@ -46,7 +46,7 @@
 	}
 	r.count++
 	if len(r.chunks) == 0 {
-		r.chunks = append(r.chunks, []*platform.Row{row})
+		r.chunks = append(r.chunks, []*infra.Row{row})
 		return
 	}
 	c := slices.Insert(r.chunks[chunk], place, row)
@@ -76,7 +76,7 @@
 
 // scan calls visit for each row whose key starts with prefix and is above
 // after, in key order, until visit returns false.
-func (r *rows) scan(prefix, after string, visit func(*platform.Row) bool) {
+func (r *rows) scan(prefix, after string, visit func(*infra.Row) bool) {
 	chunk, place, found := r.locate(max(prefix, after))
 	if found && after >= prefix {
 		place++
--- a/platform/memory/table.go
+++ b/infra/memory/table.go
@@ -13,10 +13,10 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
-// Table is a platform.Table in memory. The zero value isn't usable.
+// Table is a infra.Table in memory. The zero value isn't usable.
 type Table struct {
 	mu   sync.RWMutex
 	rows rows
@@ -65,13 +65,13 @@
 	return t.rows.count
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	if err := ended(ctx); err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
-	if err := platform.CheckKey(key); err != nil {
-		return platform.Row{}, err
+	if err := infra.CheckKey(key); err != nil {
+		return infra.Row{}, err
 	}
 	t.reads.Add(1)
 	t.mu.RLock()
@@ -79,43 +79,43 @@
 	t.mu.RUnlock()
 	if row == nil {
 		t.operations.add("get "+firstPart(key), 0, false)
-		return platform.Row{}, eris.Wrapf(platform.ErrNotFound, "table get %s", key)
+		return infra.Row{}, eris.Wrapf(infra.ErrNotFound, "table get %s", key)
 	}
 	t.operations.add("get "+firstPart(key), 1, false)
 	t.rowsRead.Add(1)
 	return copyOf(row), nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if err := ended(ctx); err != nil {
 		return nil, err
 	}
 	if limit <= 0 {
-		return nil, eris.Wrapf(platform.ErrInvalid, "table scan %s: limit %d", prefix, limit)
+		return nil, eris.Wrapf(infra.ErrInvalid, "table scan %s: limit %d", prefix, limit)
 	}
-	if err := platform.CheckKey(prefix + after); err != nil {
+	if err := infra.CheckKey(prefix + after); err != nil {
 		return nil, err
 	}
 	t.reads.Add(1)
-	var found []*platform.Row
+	var found []*infra.Row
 	t.mu.RLock()
-	t.rows.scan(prefix, after, func(r *platform.Row) bool {
+	t.rows.scan(prefix, after, func(r *infra.Row) bool {
 		found = append(found, r)
 		return len(found) < limit
 	})
 	t.mu.RUnlock()
 	t.rowsRead.Add(uint64(len(found)))
 	t.operations.add("scan "+firstPart(prefix), len(found), false)
-	out := make([]platform.Row, len(found))
+	out := make([]infra.Row, len(found))
 	for i, r := range found {
 		out[i] = copyOf(r)
 	}
 	return out, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	if err := ended(ctx); err != nil {
 		return nil, err
 	}
@@ -136,27 +136,27 @@
 }
 
 // commit checks the conditions of txn and applies it.
-func (t *Table) commit(txn platform.Txn) ([]uint64, error) {
+func (t *Table) commit(txn infra.Txn) ([]uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range txn.Conds {
-		current := platform.Row{Key: c.Key}
+		current := infra.Row{Key: c.Key}
 		if row := t.rows.get(c.Key); row != nil {
 			current = copyOf(row)
 		}
 		if current.Version != c.Version {
-			return nil, &platform.ConflictError{Current: current}
+			return nil, &infra.ConflictError{Current: current}
 		}
 	}
 	return t.apply(txn), nil
 }
 
 // apply writes txn; the caller holds the lock and has checked the conditions.
-func (t *Table) apply(txn platform.Txn) []uint64 {
+func (t *Table) apply(txn infra.Txn) []uint64 {
 	versions := make([]uint64, 0, len(txn.Puts))
 	for _, p := range txn.Puts {
 		t.last++
-		t.rows.put(&platform.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.last, Op: txn.Op})
+		t.rows.put(&infra.Row{Key: p.Key, Value: slices.Clone(p.Value), Version: t.last, Op: txn.Op})
 		versions = append(versions, t.last)
 	}
 	for _, key := range txn.Deletes {
@@ -167,7 +167,7 @@
 
 // copyOf returns a copy of a stored row that the caller may change. Stored
 // rows are replaced and never changed, so it needs no lock.
-func copyOf(r *platform.Row) platform.Row {
+func copyOf(r *infra.Row) infra.Row {
 	c := *r
 	c.Value = slices.Clone(r.Value)
 	return c
@@ -177,7 +177,7 @@
 // effect.
 func ended(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
-		return eris.Wrapf(platform.ErrUnavailable, "not sent: %v", err)
+		return eris.Wrapf(infra.ErrUnavailable, "not sent: %v", err)
 	}
 	return nil
 }
--- a/platform/memory/table_test.go
+++ b/infra/memory/table_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // TestMain fixes the seed of the randomised test; -rapid.seed asks for others.
@@ -36,7 +36,7 @@
 			return dir + fmt.Sprint(rapid.IntRange(0, 2000).Draw(t, "n"))
 		})
 		for i := range rapid.IntRange(1, 40).Draw(t, "transactions") {
-			txn := platform.Txn{Op: fmt.Sprint(i)}
+			txn := infra.Txn{Op: fmt.Sprint(i)}
 			keys := rapid.SliceOfNDistinct(key, 0, 200, rapid.ID[string]).Draw(t, "keys")
 			removing := rapid.IntRange(0, 2).Draw(t, "removing") == 0
 			for _, k := range keys {
@@ -45,7 +45,7 @@
 					delete(model, k)
 					continue
 				}
-				txn.Puts = append(txn.Puts, platform.Put{Key: k, Value: []byte(txn.Op)})
+				txn.Puts = append(txn.Puts, infra.Put{Key: k, Value: []byte(txn.Op)})
 				model[k] = txn.Op
 			}
 			if _, err := tab.Commit(t.Context(), txn); err != nil {
@@ -88,14 +88,14 @@
 func benchmarkTable(b *testing.B) *Table {
 	tab := NewTable()
 	for i := range benchmarkRows {
-		put := platform.Put{Key: fmt.Sprintf("job/%02d/%06d", i%16, i), Value: make([]byte, 400)}
-		if _, err := tab.Commit(b.Context(), platform.Txn{Op: "fill", Puts: []platform.Put{put}}); err != nil {
+		put := infra.Put{Key: fmt.Sprintf("job/%02d/%06d", i%16, i), Value: make([]byte, 400)}
+		if _, err := tab.Commit(b.Context(), infra.Txn{Op: "fill", Puts: []infra.Put{put}}); err != nil {
 			b.Fatal(err)
 		}
 	}
 	for i := range 1000 {
-		put := platform.Put{Key: fmt.Sprintf("agent/%04d", i), Value: make([]byte, 200)}
-		if _, err := tab.Commit(b.Context(), platform.Txn{Op: "fill", Puts: []platform.Put{put}}); err != nil {
+		put := infra.Put{Key: fmt.Sprintf("agent/%04d", i), Value: make([]byte, 200)}
+		if _, err := tab.Commit(b.Context(), infra.Txn{Op: "fill", Puts: []infra.Put{put}}); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -104,11 +104,11 @@
 
 func BenchmarkTable(b *testing.B) {
 	tab := benchmarkTable(b)
-	for _, rows := range []int{1, 64, platform.MaxTxnRows} {
+	for _, rows := range []int{1, 64, infra.MaxTxnRows} {
 		b.Run(fmt.Sprintf("Commit%dRows", rows), func(b *testing.B) {
-			txn := platform.Txn{Op: "op"}
+			txn := infra.Txn{Op: "op"}
 			for i := range rows {
-				txn.Puts = append(txn.Puts, platform.Put{Key: fmt.Sprintf("job/%02d/%06d", i%16, i*97%benchmarkRows), Value: make([]byte, 400)})
+				txn.Puts = append(txn.Puts, infra.Put{Key: fmt.Sprintf("job/%02d/%06d", i%16, i*97%benchmarkRows), Value: make([]byte, 400)})
 			}
 			for b.Loop() {
 				if _, err := tab.Commit(b.Context(), txn); err != nil {
--- a/platform/memory/task.go
+++ b/infra/memory/task.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -96,10 +96,10 @@
 }
 
 // status is the task's state as others see it now.
-func (r *run) status() platform.TaskStatus {
+func (r *run) status() infra.TaskStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := platform.TaskStatus{
+	s := infra.TaskStatus{
 		Job:      r.start.Job,
 		Epoch:    r.start.Epoch,
 		Kind:     r.start.Kind,
@@ -110,7 +110,7 @@
 		Result:   slices.Clone(r.result),
 		Error:    r.failure,
 	}
-	if r.phase == platform.TaskDone {
+	if r.phase == infra.TaskDone {
 		s.Progress = 1
 	}
 	return s
--- a/platform/memory/usage.go
+++ b/infra/memory/usage.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // progressAt is a progress and when the program saved it.
@@ -59,7 +59,7 @@
 
 // usage returns the task's reports whose windows ended before now less the
 // lag and weren't returned before. It also says whether more may come.
-func (r *run) usage(now time.Time) (reports []platform.Usage, more bool) {
+func (r *run) usage(now time.Time) (reports []infra.Usage, more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	every := r.worker.opts.UsageEvery
@@ -85,7 +85,7 @@
 
 // measure sums up the segments between from and to and drops those that end
 // by to. The caller holds r.mu.
-func (r *run) measure(from, to time.Time) platform.Usage {
+func (r *run) measure(from, to time.Time) infra.Usage {
 	var busy, worked, inflated float64
 	var kept []segment
 	for _, s := range r.segments {
@@ -100,7 +100,7 @@
 		}
 	}
 	r.segments = kept
-	u := platform.Usage{
+	u := infra.Usage{
 		Job:         r.start.Job,
 		Epoch:       r.start.Epoch,
 		From:        from.Sub(r.worker.began),
--- a/platform/memory/worker.go
+++ b/infra/memory/worker.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -39,7 +39,7 @@
 	// not at all. It is asked at the start of each step.
 	Slowdown func(structs.Kind) float64
 	// Actual returns what a task really uses; nil means what it declared.
-	Actual func(platform.TaskStart) structs.Resources
+	Actual func(infra.TaskStart) structs.Resources
 	// Registry, if set, is told of every start and stop.
 	Registry *RunRegistry
 	// Log gets the first broken invariant.
@@ -51,7 +51,7 @@
 	epoch structs.Epoch
 }
 
-// Worker is a platform.Worker that runs programs as goroutines.
+// Worker is a infra.Worker that runs programs as goroutines.
 type Worker struct {
 	opts  WorkerOptions
 	began time.Time
@@ -73,7 +73,7 @@
 // run is one task on its worker.
 type run struct {
 	worker *Worker
-	start  platform.TaskStart
+	start  infra.TaskStart
 	actual structs.Resources
 	cancel context.CancelFunc
 	// stopped is closed when the work has provably stopped.
@@ -81,7 +81,7 @@
 	lease   *time.Timer
 
 	mu       sync.Mutex
-	phase    platform.TaskPhase
+	phase    infra.TaskPhase
 	stopping bool
 	state    []byte
 	result   []byte
@@ -127,7 +127,7 @@
 	return w.started
 }
 
-// Fence implements platform.Worker.
+// Fence implements infra.Worker.
 func (w *Worker) Fence(ctx context.Context, h structs.Incarnation) error {
 	w.mu.Lock()
 	if err := w.refuse(ctx, h); err != nil {
@@ -152,18 +152,18 @@
 	case ctx.Err() != nil:
 		return ended(ctx)
 	case w.closed:
-		return eris.Wrap(platform.ErrUnavailable, "worker closed")
+		return eris.Wrap(infra.ErrUnavailable, "worker closed")
 	case h < w.fence:
-		return eris.Wrapf(platform.ErrFenced, "holder %d, fenced below %d", h, w.fence)
+		return eris.Wrapf(infra.ErrFenced, "holder %d, fenced below %d", h, w.fence)
 	}
 	return nil
 }
 
-// Start implements platform.Worker. A repeated start of a job and epoch that
+// Start implements infra.Worker. A repeated start of a job and epoch that
 // the worker knows changes nothing and returns nil, so that it may follow a
 // lost answer. A job that still runs at another epoch is refused with
-// platform.ErrUnavailable.
-func (w *Worker) Start(ctx context.Context, t platform.TaskStart) error {
+// infra.ErrUnavailable.
+func (w *Worker) Start(ctx context.Context, t infra.TaskStart) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.refuse(ctx, t.Holder); err != nil {
@@ -174,11 +174,11 @@
 		return nil
 	}
 	if t.Epoch <= w.over[t.Job] {
-		return eris.Wrapf(platform.ErrFenced, "job %s was stopped at epoch %d", t.Job, w.over[t.Job])
+		return eris.Wrapf(infra.ErrFenced, "job %s was stopped at epoch %d", t.Job, w.over[t.Job])
 	}
 	for other, r := range w.runs {
 		if other.job == t.Job && !r.hasStopped() {
-			return eris.Wrapf(platform.ErrUnavailable, "job %s still runs at epoch %d", t.Job, other.epoch)
+			return eris.Wrapf(infra.ErrUnavailable, "job %s still runs at epoch %d", t.Job, other.epoch)
 		}
 	}
 	r := w.newRun(t)
@@ -189,7 +189,7 @@
 
 // newRun makes the run of t and starts its program and its lease. The caller
 // holds w.mu.
-func (w *Worker) newRun(t platform.TaskStart) *run {
+func (w *Worker) newRun(t infra.TaskStart) *run {
 	t.Payload = slices.Clone(t.Payload)
 	t.Checkpoint = slices.Clone(t.Checkpoint)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -199,7 +199,7 @@
 		actual:  t.Declared,
 		cancel:  cancel,
 		stopped: make(chan struct{}),
-		phase:   platform.TaskRunning,
+		phase:   infra.TaskRunning,
 		state:   t.Checkpoint,
 		speed:   1,
 		changed: make(chan struct{}),
@@ -258,12 +258,12 @@
 	r.ended = time.Now()
 	switch {
 	case r.stopping:
-		r.phase = platform.TaskStopped
+		r.phase = infra.TaskStopped
 	case err != nil:
-		r.phase = platform.TaskFailed
+		r.phase = infra.TaskFailed
 		r.failure = err.Error()
 	default:
-		r.phase = platform.TaskDone
+		r.phase = infra.TaskDone
 		r.result = slices.Clone(result)
 	}
 	close(r.stopped)
@@ -296,7 +296,7 @@
 		select {
 		case <-r.stopped:
 		case <-ctx.Done():
-			return eris.Wrapf(platform.ErrUnknown, "job %s is stopping: %v", r.start.Job, ctx.Err())
+			return eris.Wrapf(infra.ErrUnknown, "job %s is stopping: %v", r.start.Job, ctx.Err())
 		}
 	}
 	return nil
--- a/platform/memory/worker_test.go
+++ b/infra/memory/worker_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -21,8 +21,8 @@
 	return nil, t.Step(ctx, 1000*time.Hour)
 }
 
-func assayTask(e structs.Epoch, h structs.Incarnation) platform.TaskStart {
-	return platform.TaskStart{
+func assayTask(e structs.Epoch, h structs.Incarnation) infra.TaskStart {
+	return infra.TaskStart{
 		Job: "job", Epoch: e, Kind: assay, Holder: h, Lease: time.Second,
 		Declared: structs.Resources{MilliCores: 1000, MemoryBytes: 7},
 	}
@@ -55,7 +55,7 @@
 			check(t, first.Renew(t.Context(), 1, time.Hour), nil)
 			first.Close()
 			second.Close()
-			check(t, first.Start(t.Context(), assayTask(3, 1)), platform.ErrUnavailable)
+			check(t, first.Start(t.Context(), assayTask(3, 1)), infra.ErrUnavailable)
 			if first.Broken() != 0 || first.Started() != 1 || len(registry.Running()) != 0 {
 				t.Errorf("broken %d, started %d, running %v", first.Broken(), first.Started(), registry.Running())
 			}
@@ -76,9 +76,9 @@
 		}
 		impatient, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		check(t, w.Fence(impatient, 2), platform.ErrUnknown)
-		check(t, w.Start(t.Context(), assayTask(2, 1)), platform.ErrFenced)
-		check(t, w.Start(t.Context(), assayTask(2, 2)), platform.ErrUnavailable)
+		check(t, w.Fence(impatient, 2), infra.ErrUnknown)
+		check(t, w.Start(t.Context(), assayTask(2, 1)), infra.ErrFenced)
+		check(t, w.Start(t.Context(), assayTask(2, 2)), infra.ErrUnavailable)
 		began := time.Now()
 		check(t, w.Fence(t.Context(), 2), nil)
 		if waited := time.Since(began); waited != 4*time.Second {
@@ -114,9 +114,9 @@
 		time.Sleep(time.Hour)
 		got, err := w.Usage(t.Context())
 		check(t, err, nil)
-		var want []platform.Usage
+		var want []infra.Usage
 		for s := time.Duration(1); s < 6; s++ {
-			u := platform.Usage{Job: "job", Epoch: 1, From: s * time.Second, To: (s + 1) * time.Second, MilliCores: 500, MemoryBytes: 7, Slowdown: 2}
+			u := infra.Usage{Job: "job", Epoch: 1, From: s * time.Second, To: (s + 1) * time.Second, MilliCores: 500, MemoryBytes: 7, Slowdown: 2}
 			if s == 1 {
 				u.MilliCores = 1000
 			}
--- a/platform/race_test.go
+++ b/infra/race_test.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package platform_test
+package infra_test
 
 import "runtime"
 
--- a/platform/random_test.go
+++ b/infra/random_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -12,19 +12,19 @@
 
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 )
 
 // ledger notes, inside the store, each transaction that takes effect.
 type ledger struct {
-	platform.Table
+	infra.Table
 	mu       sync.Mutex
 	versions map[string][][]uint64
 }
 
-func (l *ledger) Commit(ctx context.Context, t platform.Txn) ([]uint64, error) {
+func (l *ledger) Commit(ctx context.Context, t infra.Txn) ([]uint64, error) {
 	versions, err := l.Table.Commit(ctx, t)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,7 +41,7 @@
 type client struct {
 	id      int
 	control *fault.Control
-	table   platform.Table
+	table   infra.Table
 	steps   []step
 	learnt  map[string]outcome
 	wrong   []string
@@ -97,7 +97,7 @@
 }
 
 func (c *client) step(ctx context.Context, op string, s step) {
-	txn := platform.Txn{Op: op}
+	txn := infra.Txn{Op: op}
 	for _, key := range append(slices.Clone(s.keys), s.checked) {
 		if key == "" {
 			continue
@@ -106,12 +106,12 @@
 		if err != nil {
 			return
 		}
-		txn.Conds = append(txn.Conds, platform.Cond{Key: key, Version: row.Version})
+		txn.Conds = append(txn.Conds, infra.Cond{Key: key, Version: row.Version})
 		if key != s.checked {
-			txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: append(row.Value, " "+op...)})
+			txn.Puts = append(txn.Puts, infra.Put{Key: key, Value: append(row.Value, " "+op...)})
 		}
 	}
-	versions, err := platform.CommitOnce(ctx, c.table, txn)
+	versions, err := infra.CommitOnce(ctx, c.table, txn)
 	c.learnt[op] = outcomeOf(err)
 	if err == nil {
 		c.confirm(txn, versions)
@@ -120,7 +120,7 @@
 
 // confirm checks that the versions that a success returned are this client's:
 // a row that has one of them must have been written by its operation.
-func (c *client) confirm(txn platform.Txn, versions []uint64) {
+func (c *client) confirm(txn infra.Txn, versions []uint64) {
 	for i, p := range txn.Puts {
 		row, err := c.table.Get(context.Background(), p.Key)
 		if err == nil && row.Version == versions[i] && row.Op != txn.Op {
--- a/platform/remote/bench_test.go
+++ b/infra/remote/bench_test.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"testing"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/structs"
 )
 
@@ -49,7 +49,7 @@
 	for i := range 1000 {
 		lease := structs.AgentLease{Instance: structs.InstanceID(fmt.Sprintf("instance-%04d", i)), Incarnation: 3, Counter: 1234, State: structs.LeaseActive, Length: structs.Duration(6e11), Address: fmt.Sprintf("10.20.%d.%d:7101", i/250, i%250), Zone: "dc-1"}
 		value, _ := json.Marshal(lease)
-		txn := platform.Txn{Op: fmt.Sprintf("6NU4ZSPOCQXE7CBH2YG4WJVKPR/%d", i), Puts: []platform.Put{{Key: structs.AgentLeaseKey(lease.Instance), Value: value}}}
+		txn := infra.Txn{Op: fmt.Sprintf("6NU4ZSPOCQXE7CBH2YG4WJVKPR/%d", i), Puts: []infra.Put{{Key: structs.AgentLeaseKey(lease.Instance), Value: value}}}
 		if _, err := inner.Commit(b.Context(), txn); err != nil {
 			b.Fatal(err)
 		}
@@ -58,7 +58,7 @@
 		"Get":            func() error { _, err := tab.Get(b.Context(), "agent/instance-0500"); return err },
 		"Scan1000Leases": func() error { _, err := tab.Scan(b.Context(), "agent/", "", 1000); return err },
 		"Commit": func() error {
-			_, err := tab.Commit(b.Context(), platform.Txn{Op: "6NU4ZSPOCQXE7CBH2YG4WJVKPR/1", Puts: []platform.Put{{Key: "row", Value: make([]byte, 200)}}})
+			_, err := tab.Commit(b.Context(), infra.Txn{Op: "6NU4ZSPOCQXE7CBH2YG4WJVKPR/1", Puts: []infra.Put{{Key: "row", Value: make([]byte, 200)}}})
 			return err
 		},
 	} {
--- a/platform/remote/client.go
+++ b/infra/remote/client.go
@@ -13,7 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 var (
@@ -68,14 +68,14 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, x.method, c.base+x.path, bytes.NewReader(x.body))
 	if err != nil {
-		return nil, c.fail(x, platform.ErrInvalid, err)
+		return nil, c.fail(x, infra.ErrInvalid, err)
 	}
 	req.Header.Set(headerContent, x.content)
 	req.Header.Set(headerAccept, encodingGzip)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !sent.Load() {
-			return nil, c.fail(x, platform.ErrUnavailable, err)
+			return nil, c.fail(x, infra.ErrUnavailable, err)
 		}
 		return nil, c.unanswered(x, err)
 	}
@@ -98,10 +98,10 @@
 		return c.unanswered(x, eris.Wrapf(errNoContract, "status %d", resp.StatusCode))
 	}
 	cause := p.cause()
-	if cause == nil || (cause == platform.ErrUnknown && !x.write) {
+	if cause == nil || (cause == infra.ErrUnknown && !x.write) {
 		return c.unanswered(x, errors.New(p.Detail))
 	}
-	if cause != platform.ErrUnavailable && cause != platform.ErrUnknown {
+	if cause != infra.ErrUnavailable && cause != infra.ErrUnknown {
 		c.counters.answer()
 	}
 	return c.fail(x, cause, errors.New(p.Detail))
@@ -111,9 +111,9 @@
 // known. A read has none, so it counts as unavailable.
 func (c *client) unanswered(x exchange, err error) error {
 	if x.write {
-		return c.fail(x, platform.ErrUnknown, err)
+		return c.fail(x, infra.ErrUnknown, err)
 	}
-	return c.fail(x, platform.ErrUnavailable, err)
+	return c.fail(x, infra.ErrUnavailable, err)
 }
 
 // fail counts the cause and wraps it with the step and the peer.
@@ -161,10 +161,10 @@
 	x := exchange{step: step, method: http.MethodPost, path: path, content: contentJSON, write: bool(k)}
 	var err error
 	if x.body, err = json.Marshal(request); err != nil {
-		return answer, c.fail(x, platform.ErrInvalid, err)
+		return answer, c.fail(x, infra.ErrInvalid, err)
 	}
 	if len(x.body) > MaxBody {
-		return answer, c.fail(x, platform.ErrInvalid, errTooLarge)
+		return answer, c.fail(x, infra.ErrInvalid, errTooLarge)
 	}
 	body, err := c.do(ctx, x)
 	if err != nil {
--- a/platform/remote/contract_test.go
+++ b/infra/remote/contract_test.go
@@ -12,10 +12,10 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 	"persimmonrock.example/structs"
 )
 
@@ -23,9 +23,9 @@
 
 // services is one set of the platform's services under test.
 type services struct {
-	table   platform.Table
-	objects platform.Objects
-	worker  func(memory.WorkerOptions) platform.Worker
+	table   infra.Table
+	objects infra.Objects
+	worker  func(memory.WorkerOptions) infra.Worker
 }
 
 // each runs the behaviour against the stand-ins themselves, behind wrappers
@@ -42,7 +42,7 @@
 		behaviour(t, ctx, services{
 			table:   memory.NewTable(),
 			objects: memory.NewObjects(),
-			worker:  func(o memory.WorkerOptions) platform.Worker { return newWorker(t, o) },
+			worker:  func(o memory.WorkerOptions) infra.Worker { return newWorker(t, o) },
 		})
 	})
 	t.Run("fault", func(t *testing.T) {
@@ -50,7 +50,7 @@
 		behaviour(t, ctx, services{
 			table:   fault.NewTable(memory.NewTable(), calm),
 			objects: fault.NewObjects(memory.NewObjects(), calm),
-			worker: func(o memory.WorkerOptions) platform.Worker {
+			worker: func(o memory.WorkerOptions) infra.Worker {
 				return fault.NewWorker(newWorker(t, o), calm)
 			},
 		})
@@ -61,7 +61,7 @@
 		behaviour(t, ctx, services{
 			table:   remote.NewTable(server.URL, server.Client()),
 			objects: remote.NewObjects(server.URL+"/", nil),
-			worker: func(o memory.WorkerOptions) platform.Worker {
+			worker: func(o memory.WorkerOptions) infra.Worker {
 				server := httptest.NewServer(remote.WorkerHandler(newWorker(t, o)))
 				t.Cleanup(server.Close)
 				return remote.NewWorker(server.URL, server.Client())
@@ -70,7 +70,7 @@
 	})
 }
 
-func mustCommit(t *testing.T, tab platform.Table, txn platform.Txn) []uint64 {
+func mustCommit(t *testing.T, tab infra.Table, txn infra.Txn) []uint64 {
 	t.Helper()
 	versions, err := tab.Commit(t.Context(), txn)
 	if err != nil {
@@ -79,7 +79,7 @@
 	return versions
 }
 
-func put(key, value string) platform.Put { return platform.Put{Key: key, Value: []byte(value)} }
+func put(key, value string) infra.Put { return infra.Put{Key: key, Value: []byte(value)} }
 
 func wantError(t *testing.T, got, want error, what string) {
 	t.Helper()
@@ -91,30 +91,30 @@
 func TestTableContract(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, s services) {
 		_, err := s.table.Get(ctx, "a")
-		wantError(t, err, platform.ErrNotFound, "absent row")
+		wantError(t, err, infra.ErrNotFound, "absent row")
 
-		v := mustCommit(t, s.table, platform.Txn{
+		v := mustCommit(t, s.table, infra.Txn{
 			Op:    "op1",
-			Conds: []platform.Cond{{Key: "job/a"}},
-			Puts:  []platform.Put{put("job/b", "B"), put("job/a", "A"), {Key: "job/c", Value: []byte{}}, put("x", "X")},
+			Conds: []infra.Cond{{Key: "job/a"}},
+			Puts:  []infra.Put{put("job/b", "B"), put("job/a", "A"), {Key: "job/c", Value: []byte{}}, put("x", "X")},
 		})
 		got, err := s.table.Get(ctx, "job/a")
-		if diff := cmp.Diff(platform.Row{Key: "job/a", Value: []byte("A"), Version: v[1], Op: "op1"}, got); diff != "" || err != nil {
+		if diff := cmp.Diff(infra.Row{Key: "job/a", Value: []byte("A"), Version: v[1], Op: "op1"}, got); diff != "" || err != nil {
 			t.Errorf("row after its put (%v): %s", err, diff)
 		}
 
 		// All or nothing: the second condition breaks, so that neither row changes.
-		_, err = s.table.Commit(ctx, platform.Txn{
+		_, err = s.table.Commit(ctx, infra.Txn{
 			Op:      "op2",
-			Conds:   []platform.Cond{{Key: "job/a", Version: v[1]}, {Key: "job/b", Version: v[0] + 100}},
-			Puts:    []platform.Put{put("job/a", "A2")},
+			Conds:   []infra.Cond{{Key: "job/a", Version: v[1]}, {Key: "job/b", Version: v[0] + 100}},
+			Puts:    []infra.Put{put("job/a", "A2")},
 			Deletes: []string{"job/b"},
 		})
-		var conflict *platform.ConflictError
+		var conflict *infra.ConflictError
 		if !errors.As(err, &conflict) {
 			t.Fatalf("broken condition: got %v", err)
 		}
-		if diff := cmp.Diff(platform.Row{Key: "job/b", Value: []byte("B"), Version: v[0], Op: "op1"}, conflict.Current); diff != "" {
+		if diff := cmp.Diff(infra.Row{Key: "job/b", Value: []byte("B"), Version: v[0], Op: "op1"}, conflict.Current); diff != "" {
 			t.Errorf("row in the conflict: %s", diff)
 		}
 		checkKeys(t, ctx, s.table, "job/", "", 10, "job/a", "job/b", "job/c")
@@ -123,40 +123,40 @@
 		checkKeys(t, ctx, s.table, "", "job/b", 10, "job/c", "x")
 
 		// A row that is written anew has a version that it never had before.
-		mustCommit(t, s.table, platform.Txn{Op: "op3", Conds: []platform.Cond{{Key: "job/a", Version: v[1]}}, Deletes: []string{"job/a"}})
-		again := mustCommit(t, s.table, platform.Txn{Op: "op4", Conds: []platform.Cond{{Key: "job/a"}}, Puts: []platform.Put{put("job/a", "A4")}})
+		mustCommit(t, s.table, infra.Txn{Op: "op3", Conds: []infra.Cond{{Key: "job/a", Version: v[1]}}, Deletes: []string{"job/a"}})
+		again := mustCommit(t, s.table, infra.Txn{Op: "op4", Conds: []infra.Cond{{Key: "job/a"}}, Puts: []infra.Put{put("job/a", "A4")}})
 		if again[0] <= v[1] {
 			t.Errorf("version %d after %d", again[0], v[1])
 		}
 		for name, txn := range invalidTransactions() {
 			_, err := s.table.Commit(ctx, txn)
-			wantError(t, err, platform.ErrInvalid, name)
+			wantError(t, err, infra.ErrInvalid, name)
 		}
 		_, err = s.table.Scan(ctx, "", "", 0)
-		wantError(t, err, platform.ErrInvalid, "scan without limit")
-		mustCommit(t, s.table, platform.Txn{Op: "op5", Puts: []platform.Put{put("call/\ufffd", "another request")}})
+		wantError(t, err, infra.ErrInvalid, "scan without limit")
+		mustCommit(t, s.table, infra.Txn{Op: "op5", Puts: []infra.Put{put("call/\ufffd", "another request")}})
 		_, err = s.table.Get(ctx, "call/\xff")
-		wantError(t, err, platform.ErrInvalid, "get of a key that JSON would change")
+		wantError(t, err, infra.ErrInvalid, "get of a key that JSON would change")
 		_, err = s.table.Scan(ctx, "call/\xff", "", 1)
-		wantError(t, err, platform.ErrInvalid, "scan of a prefix that JSON would change")
+		wantError(t, err, infra.ErrInvalid, "scan of a prefix that JSON would change")
 	})
 }
 
-func invalidTransactions() map[string]platform.Txn {
-	var wide platform.Txn
-	for i := range platform.MaxTxnRows + 1 {
+func invalidTransactions() map[string]infra.Txn {
+	var wide infra.Txn
+	for i := range infra.MaxTxnRows + 1 {
 		wide.Puts = append(wide.Puts, put(fmt.Sprint(i), ""))
 	}
-	return map[string]platform.Txn{
+	return map[string]infra.Txn{
 		"too many rows":   wide,
-		"two conditions":  {Conds: []platform.Cond{{Key: "a"}, {Key: "a"}}},
-		"key not UTF-8":   {Puts: []platform.Put{put("call/a\xff", "")}},
+		"two conditions":  {Conds: []infra.Cond{{Key: "a"}, {Key: "a"}}},
+		"key not UTF-8":   {Puts: []infra.Put{put("call/a\xff", "")}},
 		"op not UTF-8":    {Op: "\xff"},
-		"put and deleted": {Puts: []platform.Put{put("a", "")}, Deletes: []string{"a"}},
+		"put and deleted": {Puts: []infra.Put{put("a", "")}, Deletes: []string{"a"}},
 	}
 }
 
-func checkKeys(t *testing.T, ctx context.Context, tab platform.Table, prefix, after string, limit int, want ...string) {
+func checkKeys(t *testing.T, ctx context.Context, tab infra.Table, prefix, after string, limit int, want ...string) {
 	t.Helper()
 	found, err := tab.Scan(ctx, prefix, after, limit)
 	if err != nil {
@@ -175,11 +175,11 @@
 	each(t, func(t *testing.T, ctx context.Context, s services) {
 		const key = "result/a b/../1?x=%2F"
 		_, err := s.objects.Get(ctx, key)
-		wantError(t, err, platform.ErrNotFound, "absent object")
+		wantError(t, err, infra.ErrNotFound, "absent object")
 		for range 2 {
 			wantError(t, s.objects.Put(ctx, key, []byte{0, 255}), nil, "put and its repeat")
 		}
-		wantError(t, s.objects.Put(ctx, key, []byte("other")), platform.ErrInvalid, "another body")
+		wantError(t, s.objects.Put(ctx, key, []byte("other")), infra.ErrInvalid, "another body")
 		wantError(t, s.objects.Put(ctx, "empty", nil), nil, "empty body")
 		body, err := s.objects.Get(ctx, key)
 		if diff := cmp.Diff([]byte{0, 255}, body); diff != "" || err != nil {
@@ -196,7 +196,7 @@
 		wantError(t, s.objects.Delete(ctx, key), nil, "delete")
 		wantError(t, s.objects.Delete(ctx, key), nil, "repeated delete")
 		_, err = s.objects.Get(ctx, key)
-		wantError(t, err, platform.ErrNotFound, "deleted object")
+		wantError(t, err, infra.ErrNotFound, "deleted object")
 	})
 }
 
@@ -220,12 +220,12 @@
 	return []byte(fmt.Sprintf("from %d to %d", from, to)), nil
 }
 
-func task(id structs.JobID, e structs.Epoch, payload string) platform.TaskStart {
-	return platform.TaskStart{Job: id, Epoch: e, Kind: "count", Payload: []byte(payload), Holder: 3, Lease: time.Minute}
+func task(id structs.JobID, e structs.Epoch, payload string) infra.TaskStart {
+	return infra.TaskStart{Job: id, Epoch: e, Kind: "count", Payload: []byte(payload), Holder: 3, Lease: time.Minute}
 }
 
 // await lists until the job at the epoch is in the phase.
-func await(t *testing.T, ctx context.Context, w platform.Worker, id structs.JobID, e structs.Epoch, phase platform.TaskPhase) platform.TaskStatus {
+func await(t *testing.T, ctx context.Context, w infra.Worker, id structs.JobID, e structs.Epoch, phase infra.TaskPhase) infra.TaskStatus {
 	t.Helper()
 	for ctx.Err() == nil {
 		list, err := w.List(ctx)
@@ -240,7 +240,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	t.Fatalf("job %s epoch %d never became %s", id, e, phase)
-	return platform.TaskStatus{}
+	return infra.TaskStatus{}
 }
 
 func TestWorkerContract(t *testing.T) {
@@ -254,22 +254,22 @@
 			Registry:   registry,
 		})
 		wantError(t, w.Fence(ctx, 3), nil, "fence")
-		wantError(t, w.Fence(ctx, 2), platform.ErrFenced, "lower fence")
+		wantError(t, w.Fence(ctx, 2), infra.ErrFenced, "lower fence")
 		old := task("old", 1, "1")
 		old.Holder = 2
-		wantError(t, w.Start(ctx, old), platform.ErrFenced, "start by a fenced holder")
-		wantError(t, w.Renew(ctx, 2, time.Minute), platform.ErrFenced, "renewal by a fenced holder")
+		wantError(t, w.Start(ctx, old), infra.ErrFenced, "start by a fenced holder")
+		wantError(t, w.Renew(ctx, 2, time.Minute), infra.ErrFenced, "renewal by a fenced holder")
 
 		for range 2 {
 			wantError(t, w.Start(ctx, task("a", 1, "1000000")), nil, "start and its repeat")
 		}
-		wantError(t, w.Start(ctx, task("a", 2, "5")), platform.ErrUnavailable, "start while an older epoch runs")
-		wantError(t, w.Forget(ctx, "a", 1), platform.ErrInvalid, "forget of a running task")
+		wantError(t, w.Start(ctx, task("a", 2, "5")), infra.ErrUnavailable, "start while an older epoch runs")
+		wantError(t, w.Forget(ctx, "a", 1), infra.ErrInvalid, "forget of a running task")
 		wantError(t, w.Stop(ctx, "a", 1), nil, "stop")
 		if running := registry.Running(); len(running) != 0 {
 			t.Errorf("still running after stop: %v", running)
 		}
-		await(t, ctx, w, "a", 1, platform.TaskStopped)
+		await(t, ctx, w, "a", 1, infra.TaskStopped)
 
 		state, err := w.Checkpoint(ctx, "a", 1)
 		wantError(t, err, nil, "checkpoint")
@@ -280,7 +280,7 @@
 			resumed.Payload = []byte("3")
 		}
 		wantError(t, w.Start(ctx, resumed), nil, "resumed start")
-		done := await(t, ctx, w, "a", 2, platform.TaskDone)
+		done := await(t, ctx, w, "a", 2, infra.TaskDone)
 		want := fmt.Sprintf("from %s to %s", orZero(state), resumed.Payload)
 		if string(done.Result) != want || done.Progress != 1 {
 			t.Errorf("result %q at %v, want %q at 1", done.Result, done.Progress, want)
@@ -288,20 +288,20 @@
 		wantError(t, w.Forget(ctx, "a", 2), nil, "forget")
 		wantError(t, w.Forget(ctx, "a", 2), nil, "repeated forget")
 		_, err = w.Checkpoint(ctx, "a", 2)
-		wantError(t, err, platform.ErrNotFound, "checkpoint of a forgotten task")
+		wantError(t, err, infra.ErrNotFound, "checkpoint of a forgotten task")
 
 		wantError(t, w.Start(ctx, task("bad", 1, "no number")), nil, "start of a failing task")
-		if s := await(t, ctx, w, "bad", 1, platform.TaskFailed); s.Error == "" {
+		if s := await(t, ctx, w, "bad", 1, infra.TaskFailed); s.Error == "" {
 			t.Error("a failed task says nothing")
 		}
 		strange := task("strange", 1, "")
 		strange.Kind = "strange"
 		wantError(t, w.Start(ctx, strange), nil, "start of an unknown kind")
-		await(t, ctx, w, "strange", 1, platform.TaskFailed)
+		await(t, ctx, w, "strange", 1, infra.TaskFailed)
 
 		wantError(t, w.Start(ctx, task("b", 1, "1000000")), nil, "start")
 		wantError(t, w.Throttle(ctx, "b", 1, 0), nil, "throttle")
-		wantError(t, w.Throttle(ctx, "none", 1, 0), platform.ErrNotFound, "throttle of an unknown task")
+		wantError(t, w.Throttle(ctx, "none", 1, 0), infra.ErrNotFound, "throttle of an unknown task")
 		wantError(t, w.Stop(ctx, "none", 1), nil, "stop of an unknown task")
 		if _, err := w.Usage(ctx); err != nil {
 			t.Error(err)
--- a/platform/remote/counters.go
+++ b/infra/remote/counters.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // Counters count what one or more clients asked of the platform and how it
@@ -69,13 +69,13 @@
 
 // failure counts the error of a request.
 func (c *Counters) failure(cause error) {
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case errors.As(cause, &conflict):
 		c.conflicts.Add(1)
-	case cause == platform.ErrUnavailable:
+	case cause == infra.ErrUnavailable:
 		c.unavailable.Add(1)
-	case cause == platform.ErrUnknown:
+	case cause == infra.ErrUnknown:
 		c.unknown.Add(1)
 	}
 }
--- a/platform/remote/errors_test.go
+++ b/infra/remote/errors_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"persimmonrock.example/platform"
-	"persimmonrock.example/platform/memory"
-	"persimmonrock.example/platform/remote"
+	"persimmonrock.example/infra"
+	"persimmonrock.example/infra/memory"
+	"persimmonrock.example/infra/remote"
 )
 
 // answer replies with a status, a content type and a body.
@@ -55,19 +55,19 @@
 		handler http.HandlerFunc
 		commit  error
 	}{
-		"cut before the answer":          {cut, platform.ErrUnknown},
-		"cut within the answer":          {half, platform.ErrUnknown},
-		"expands beyond the bound":       {expanding, platform.ErrUnknown},
-		"no answer":                      {never, platform.ErrUnknown},
-		"redirect":                       {answer(307, plainJSON, ""), platform.ErrUnknown},
-		"refusal by a middle box":        {answer(503, "text/html", "busy"), platform.ErrUnknown},
-		"document with another status":   {answer(500, problemJSON, unavailableProblem), platform.ErrUnknown},
-		"document of another protocol":   {answer(503, problemJSON, `{"type":"about:blank","title":"","status":503}`), platform.ErrUnknown},
-		"conflict that names no row":     {answer(409, problemJSON, `{"type":"urn:persimmonrock:platform:conflict","title":"","status":409}`), platform.ErrUnknown},
-		"fewer versions than puts":       {answer(200, plainJSON, `{"versions":[]}`), platform.ErrUnknown},
-		"success of another kind":        {answer(200, plainJSON, `{"ok":true}`), platform.ErrUnknown},
-		"refusal by the platform itself": {answer(503, problemJSON, unavailableProblem), platform.ErrUnavailable},
-		"not listening":                  {nil, platform.ErrUnavailable},
+		"cut before the answer":          {cut, infra.ErrUnknown},
+		"cut within the answer":          {half, infra.ErrUnknown},
+		"expands beyond the bound":       {expanding, infra.ErrUnknown},
+		"no answer":                      {never, infra.ErrUnknown},
+		"redirect":                       {answer(307, plainJSON, ""), infra.ErrUnknown},
+		"refusal by a middle box":        {answer(503, "text/html", "busy"), infra.ErrUnknown},
+		"document with another status":   {answer(500, problemJSON, unavailableProblem), infra.ErrUnknown},
+		"document of another protocol":   {answer(503, problemJSON, `{"type":"about:blank","title":"","status":503}`), infra.ErrUnknown},
+		"conflict that names no row":     {answer(409, problemJSON, `{"type":"urn:persimmonrock:platform:conflict","title":"","status":409}`), infra.ErrUnknown},
+		"fewer versions than puts":       {answer(200, plainJSON, `{"versions":[]}`), infra.ErrUnknown},
+		"success of another kind":        {answer(200, plainJSON, `{"ok":true}`), infra.ErrUnknown},
+		"refusal by the platform itself": {answer(503, problemJSON, unavailableProblem), infra.ErrUnavailable},
+		"not listening":                  {nil, infra.ErrUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(c.handler)
@@ -79,16 +79,16 @@
 			defer cancel()
 			counters := remote.NewCounters()
 			tab := remote.NewTable(server.URL, nil, remote.WithCounters(counters))
-			_, err := tab.Commit(ctx, platform.Txn{Op: "op", Puts: []platform.Put{{Key: "a"}}})
+			_, err := tab.Commit(ctx, infra.Txn{Op: "op", Puts: []infra.Put{{Key: "a"}}})
 			wantError(t, err, c.commit, "commit")
-			if errors.Is(err, platform.ErrUnavailable) == errors.Is(err, platform.ErrUnknown) {
+			if errors.Is(err, infra.ErrUnavailable) == errors.Is(err, infra.ErrUnknown) {
 				t.Errorf("%v is both or neither", err)
 			}
 			// A read has no effect, so whatever happens to it is an outage.
 			_, err = tab.Get(ctx, "a")
-			wantError(t, err, platform.ErrUnavailable, "get")
+			wantError(t, err, infra.ErrUnavailable, "get")
 			counted := counters.Vars().(remote.CounterVars)
-			if counted.Reads != 1 || counted.Writes != 1 || counted.Unknown+counted.Unavailable != 2 || (counted.Unknown == 1) != errors.Is(c.commit, platform.ErrUnknown) {
+			if counted.Reads != 1 || counted.Writes != 1 || counted.Unknown+counted.Unavailable != 2 || (counted.Unknown == 1) != errors.Is(c.commit, infra.ErrUnknown) {
 				t.Errorf("counted %+v", counted)
 			}
 		})
--- a/platform/remote/handler.go
+++ b/infra/remote/handler.go
@@ -8,11 +8,11 @@
 
 	"github.com/rotisserie/eris"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
 // Handler serves a table service and an object store.
-func Handler(t platform.Table, o platform.Objects) http.Handler {
+func Handler(t infra.Table, o infra.Objects) http.Handler {
 	mux := http.NewServeMux()
 	serve(mux, pathGet, func(ctx context.Context, r getRequest) (row, error) {
 		found, err := t.Get(ctx, r.Key)
@@ -33,7 +33,7 @@
 }
 
 // WorkerHandler serves the worker of one instance.
-func WorkerHandler(w platform.Worker) http.Handler {
+func WorkerHandler(w infra.Worker) http.Handler {
 	mux := http.NewServeMux()
 	serve(mux, pathFence, func(ctx context.Context, r holderRequest) (empty, error) {
 		return empty{}, w.Fence(ctx, r.Holder)
@@ -56,7 +56,7 @@
 	})
 	serve(mux, pathList, func(ctx context.Context, _ empty) (listAnswer, error) {
 		list, err := w.List(ctx)
-		return listAnswer{Tasks: mapped(list, func(s platform.TaskStatus) status { return status(s) })}, err
+		return listAnswer{Tasks: mapped(list, func(s infra.TaskStatus) status { return status(s) })}, err
 	})
 	serve(mux, pathForget, func(ctx context.Context, r taskRequest) (empty, error) {
 		return empty{}, w.Forget(ctx, r.Job, r.Epoch)
@@ -77,7 +77,7 @@
 			err = strict(body, &request)
 		}
 		if err != nil {
-			refuse(w, r, eris.Wrapf(platform.ErrInvalid, "body: %v", err))
+			refuse(w, r, eris.Wrapf(infra.ErrInvalid, "body: %v", err))
 			return
 		}
 		answer, err := f(r.Context(), request)
@@ -89,11 +89,11 @@
 	})
 }
 
-func putObject(o platform.Objects) http.HandlerFunc {
+func putObject(o infra.Objects) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := readAll(http.MaxBytesReader(w, r.Body, MaxBody))
 		if err != nil {
-			refuse(w, r, eris.Wrapf(platform.ErrInvalid, "body: %v", err))
+			refuse(w, r, eris.Wrapf(infra.ErrInvalid, "body: %v", err))
 			return
 		}
 		if err := o.Put(r.Context(), r.URL.Query().Get(paramKey), body); err != nil {
@@ -104,7 +104,7 @@
 	}
 }
 
-func getObject(o platform.Objects) http.HandlerFunc {
+func getObject(o infra.Objects) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := o.Get(r.Context(), r.URL.Query().Get(paramKey))
 		if err != nil {
@@ -115,7 +115,7 @@
 	}
 }
 
-func deleteObject(o platform.Objects) http.HandlerFunc {
+func deleteObject(o infra.Objects) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if err := o.Delete(r.Context(), r.URL.Query().Get(paramKey)); err != nil {
 			refuse(w, r, err)
@@ -140,7 +140,7 @@
 	}
 	if err != nil {
 		code, content = http.StatusGatewayTimeout, contentProblem
-		body, _ = json.Marshal(problemOf(errors.Join(platform.ErrUnknown, err)))
+		body, _ = json.Marshal(problemOf(errors.Join(infra.ErrUnknown, err)))
 	}
 	write(w, r, code, content, body)
 }
--- a/platform/remote/protocol.go
+++ b/infra/remote/protocol.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
@@ -69,18 +69,18 @@
 // that the protocol doesn't know proves nothing.
 func problemOf(err error) problem {
 	p := problem{Type: problemUnknown, Status: http.StatusGatewayTimeout}
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		current := rowOf(conflict.Current)
 		p = problem{Type: problemConflict, Status: http.StatusConflict, Current: &current}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		p = problem{Type: problemNotFound, Status: http.StatusNotFound}
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, infra.ErrFenced):
 		p = problem{Type: problemFenced, Status: http.StatusPreconditionFailed}
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, infra.ErrInvalid):
 		p = problem{Type: problemInvalid, Status: http.StatusBadRequest}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 		p = problem{Type: problemUnavailable, Status: http.StatusServiceUnavailable}
 	}
 	p.Title = http.StatusText(p.Status)
@@ -96,17 +96,17 @@
 		if p.Current == nil {
 			return nil
 		}
-		return &platform.ConflictError{Current: p.Current.row()}
+		return &infra.ConflictError{Current: p.Current.row()}
 	case problemNotFound:
-		return platform.ErrNotFound
+		return infra.ErrNotFound
 	case problemFenced:
-		return platform.ErrFenced
+		return infra.ErrFenced
 	case problemInvalid:
-		return platform.ErrInvalid
+		return infra.ErrInvalid
 	case problemUnavailable:
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	case problemUnknown:
-		return platform.ErrUnknown
+		return infra.ErrUnknown
 	}
 	return nil
 }
@@ -118,9 +118,9 @@
 	Op      string `json:"op"`
 }
 
-func rowOf(r platform.Row) row      { return row(r) }
-func (r row) row() platform.Row     { return platform.Row(r) }
-func rowsOf(rs []platform.Row) rows { return rows{Rows: mapped(rs, rowOf)} }
+func rowOf(r infra.Row) row      { return row(r) }
+func (r row) row() infra.Row     { return infra.Row(r) }
+func rowsOf(rs []infra.Row) rows { return rows{Rows: mapped(rs, rowOf)} }
 
 // mapped returns f of each element.
 func mapped[A, B any](in []A, f func(A) B) []B {
@@ -162,20 +162,20 @@
 	Deletes []string    `json:"deletes,omitempty"`
 }
 
-func commitOf(t platform.Txn) commitRequest {
+func commitOf(t infra.Txn) commitRequest {
 	return commitRequest{
 		Op:      t.Op,
-		Conds:   mapped(t.Conds, func(c platform.Cond) condition { return condition(c) }),
-		Puts:    mapped(t.Puts, func(p platform.Put) put { return put(p) }),
+		Conds:   mapped(t.Conds, func(c infra.Cond) condition { return condition(c) }),
+		Puts:    mapped(t.Puts, func(p infra.Put) put { return put(p) }),
 		Deletes: t.Deletes,
 	}
 }
 
-func (r commitRequest) txn() platform.Txn {
-	return platform.Txn{
+func (r commitRequest) txn() infra.Txn {
+	return infra.Txn{
 		Op:      r.Op,
-		Conds:   mapped(r.Conds, func(c condition) platform.Cond { return platform.Cond(c) }),
-		Puts:    mapped(r.Puts, func(p put) platform.Put { return platform.Put(p) }),
+		Conds:   mapped(r.Conds, func(c condition) infra.Cond { return infra.Cond(c) }),
+		Puts:    mapped(r.Puts, func(p put) infra.Put { return infra.Put(p) }),
 		Deletes: r.Deletes,
 	}
 }
@@ -209,7 +209,7 @@
 	Lease      structs.Duration    `json:"lease"`
 }
 
-func startOf(t platform.TaskStart) startRequest {
+func startOf(t infra.TaskStart) startRequest {
 	return startRequest{
 		Job: t.Job, Epoch: t.Epoch, Customer: t.Customer, Kind: t.Kind,
 		Payload: t.Payload, Checkpoint: t.Checkpoint, Declared: t.Declared,
@@ -217,8 +217,8 @@
 	}
 }
 
-func (r startRequest) start() platform.TaskStart {
-	return platform.TaskStart{
+func (r startRequest) start() infra.TaskStart {
+	return infra.TaskStart{
 		Job: r.Job, Epoch: r.Epoch, Customer: r.Customer, Kind: r.Kind,
 		Payload: r.Payload, Checkpoint: r.Checkpoint, Declared: r.Declared,
 		Holder: r.Holder, Lease: r.Lease.Std(),
@@ -236,7 +236,7 @@
 	Kind     structs.Kind        `json:"kind"`
 	Holder   structs.Incarnation `json:"holder"`
 	Declared structs.Resources   `json:"declared"`
-	Phase    platform.TaskPhase  `json:"phase"`
+	Phase    infra.TaskPhase     `json:"phase"`
 	Progress float64             `json:"progress"`
 	Result   []byte              `json:"result"`
 	Error    string              `json:"error,omitempty"`
@@ -256,7 +256,7 @@
 	Slowdown    float64          `json:"slowdown"`
 }
 
-func usageOf(u platform.Usage) usage {
+func usageOf(u infra.Usage) usage {
 	return usage{
 		Job: u.Job, Epoch: u.Epoch,
 		From: structs.Duration(u.From), To: structs.Duration(u.To),
@@ -264,8 +264,8 @@
 	}
 }
 
-func (u usage) usage() platform.Usage {
-	return platform.Usage{
+func (u usage) usage() infra.Usage {
+	return infra.Usage{
 		Job: u.Job, Epoch: u.Epoch,
 		From: time.Duration(u.From), To: time.Duration(u.To),
 		MilliCores: u.MilliCores, MemoryBytes: u.MemoryBytes, Slowdown: u.Slowdown,
--- a/platform/remote/table.go
+++ b/infra/remote/table.go
@@ -6,30 +6,30 @@
 	"net/http"
 	"net/url"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 )
 
-// table is a platform.Table behind HTTP.
+// table is a infra.Table behind HTTP.
 type table struct{ client *client }
 
 // NewTable returns the table service at base, such as "http://10.0.0.7:8300".
 // A nil client is http.DefaultClient; contexts bound each request.
-func NewTable(base string, c *http.Client, options ...Option) platform.Table {
+func NewTable(base string, c *http.Client, options ...Option) infra.Table {
 	return &table{client: newClient(base, c, options)}
 }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := platform.CheckKey(key); err != nil {
-		return platform.Row{}, err
+// Get implements infra.Table.
+func (t *table) Get(ctx context.Context, key string) (infra.Row, error) {
+	if err := infra.CheckKey(key); err != nil {
+		return infra.Row{}, err
 	}
 	r, err := call[row](ctx, t.client, reading, "table get", pathGet, getRequest{Key: key})
 	return r.row(), err
 }
 
-// Scan implements platform.Table.
-func (t *table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if err := platform.CheckKey(prefix + after); err != nil {
+// Scan implements infra.Table.
+func (t *table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
+	if err := infra.CheckKey(prefix + after); err != nil {
 		return nil, err
 	}
 	request := scanRequest{Prefix: prefix, After: after, Limit: limit}
@@ -40,8 +40,8 @@
 	return mapped(found.Rows, row.row), nil
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements infra.Table.
+func (t *table) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	const step = "table commit"
 	if err := txn.Validate(); err != nil {
 		return nil, err
@@ -52,17 +52,17 @@
 	}
 	if len(answer.Versions) != len(txn.Puts) {
 		err := errors.New("another number of versions than of puts")
-		return nil, t.client.fail(exchange{step: step}, platform.ErrUnknown, err)
+		return nil, t.client.fail(exchange{step: step}, infra.ErrUnknown, err)
 	}
 	return answer.Versions, nil
 }
 
-// objects is a platform.Objects behind HTTP.
+// objects is a infra.Objects behind HTTP.
 type objects struct{ client *client }
 
 // NewObjects returns the object store at base. A nil client is
 // http.DefaultClient.
-func NewObjects(base string, c *http.Client, options ...Option) platform.Objects {
+func NewObjects(base string, c *http.Client, options ...Option) infra.Objects {
 	return &objects{client: newClient(base, c, options)}
 }
 
@@ -76,23 +76,23 @@
 		write:   method != http.MethodGet,
 	}
 	if len(body) > MaxBody {
-		return nil, o.client.fail(x, platform.ErrInvalid, errTooLarge)
+		return nil, o.client.fail(x, infra.ErrInvalid, errTooLarge)
 	}
 	return o.client.do(ctx, x)
 }
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o *objects) Put(ctx context.Context, key string, body []byte) error {
 	_, err := o.do(ctx, "object put", http.MethodPut, key, body)
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *objects) Get(ctx context.Context, key string) ([]byte, error) {
 	return o.do(ctx, "object get", http.MethodGet, key, nil)
 }
 
-// Delete implements platform.Objects.
+// Delete implements infra.Objects.
 func (o *objects) Delete(ctx context.Context, key string) error {
 	_, err := o.do(ctx, "object delete", http.MethodDelete, key, nil)
 	return err
--- a/platform/remote/worker.go
+++ b/infra/remote/worker.go
@@ -5,17 +5,17 @@
 	"net/http"
 	"time"
 
-	"persimmonrock.example/platform"
+	"persimmonrock.example/infra"
 	"persimmonrock.example/structs"
 )
 
-// worker is a platform.Worker behind HTTP.
+// worker is a infra.Worker behind HTTP.
 type worker struct{ client *client }
 
 // NewWorker returns the worker at base. A nil client is http.DefaultClient.
 // Fence and Stop answer only once the work has stopped, so that the client's
 // own time-out, if any, has to be longer than that.
-func NewWorker(base string, c *http.Client, options ...Option) platform.Worker {
+func NewWorker(base string, c *http.Client, options ...Option) infra.Worker {
 	return &worker{client: newClient(base, c, options)}
 }
 
@@ -24,54 +24,54 @@
 	return err
 }
 
-// Fence implements platform.Worker.
+// Fence implements infra.Worker.
 func (w *worker) Fence(ctx context.Context, h structs.Incarnation) error {
 	return w.act(ctx, "worker fence", pathFence, holderRequest{Holder: h})
 }
 
-// Start implements platform.Worker.
-func (w *worker) Start(ctx context.Context, t platform.TaskStart) error {
+// Start implements infra.Worker.
+func (w *worker) Start(ctx context.Context, t infra.TaskStart) error {
 	return w.act(ctx, "worker start", pathStart, startOf(t))
 }
 
-// Renew implements platform.Worker.
+// Renew implements infra.Worker.
 func (w *worker) Renew(ctx context.Context, h structs.Incarnation, lease time.Duration) error {
 	return w.act(ctx, "worker renew", pathRenew, holderRequest{Holder: h, Lease: structs.Duration(lease)})
 }
 
-// Checkpoint implements platform.Worker.
+// Checkpoint implements infra.Worker.
 func (w *worker) Checkpoint(ctx context.Context, id structs.JobID, e structs.Epoch) ([]byte, error) {
 	request := taskRequest{Job: id, Epoch: e}
 	answer, err := call[stateAnswer](ctx, w.client, reading, "worker checkpoint", pathCheckpoint, request)
 	return answer.State, err
 }
 
-// Throttle implements platform.Worker.
+// Throttle implements infra.Worker.
 func (w *worker) Throttle(ctx context.Context, id structs.JobID, e structs.Epoch, speed float64) error {
 	return w.act(ctx, "worker throttle", pathThrottle, taskRequest{Job: id, Epoch: e, Speed: speed})
 }
 
-// Stop implements platform.Worker.
+// Stop implements infra.Worker.
 func (w *worker) Stop(ctx context.Context, id structs.JobID, e structs.Epoch) error {
 	return w.act(ctx, "worker stop", pathStop, taskRequest{Job: id, Epoch: e})
 }
 
-// List implements platform.Worker.
-func (w *worker) List(ctx context.Context) ([]platform.TaskStatus, error) {
+// List implements infra.Worker.
+func (w *worker) List(ctx context.Context) ([]infra.TaskStatus, error) {
 	answer, err := call[listAnswer](ctx, w.client, reading, "worker list", pathList, empty{})
 	if err != nil {
 		return nil, err
 	}
-	return mapped(answer.Tasks, func(s status) platform.TaskStatus { return platform.TaskStatus(s) }), nil
+	return mapped(answer.Tasks, func(s status) infra.TaskStatus { return infra.TaskStatus(s) }), nil
 }
 
-// Forget implements platform.Worker.
+// Forget implements infra.Worker.
 func (w *worker) Forget(ctx context.Context, id structs.JobID, e structs.Epoch) error {
 	return w.act(ctx, "worker forget", pathForget, taskRequest{Job: id, Epoch: e})
 }
 
-// Usage implements platform.Worker. A lost answer loses its reports.
-func (w *worker) Usage(ctx context.Context) ([]platform.Usage, error) {
+// Usage implements infra.Worker. A lost answer loses its reports.
+func (w *worker) Usage(ctx context.Context) ([]infra.Usage, error) {
 	answer, err := call[usageAnswer](ctx, w.client, writing, "worker usage", pathUsage, empty{})
 	if err != nil {
 		return nil, err
--- a/platform/txn.go
+++ b/infra/txn.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"errors"
--- a/platform/workload_test.go
+++ b/infra/workload_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -17,9 +17,9 @@
 	"persimmonrock.example/agent"
 	"persimmonrock.example/backend"
 	"persimmonrock.example/entry"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/ops/events"
 	"persimmonrock.example/ops/keys"
-	"persimmonrock.example/platform/memory"
 	"persimmonrock.example/structs"
 	"persimmonrock.example/wire"
 )
--- a/sessions/inproc/world.go
+++ b/sessions/inproc/world.go
@@ -15,10 +15,10 @@
 	"persimmonrock.example/agent"
 	"persimmonrock.example/backend"
 	"persimmonrock.example/entry"
+	"persimmonrock.example/infra/fault"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/ops/events"
 	"persimmonrock.example/ops/keys"
-	"persimmonrock.example/platform/fault"
-	"persimmonrock.example/platform/memory"
 	"persimmonrock.example/structs"
 )
 
--- a/sessions/learning_test.go
+++ b/sessions/learning_test.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/cmd/sample"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/sessions/inproc"
 	"persimmonrock.example/structs"
 )
--- a/sessions/planned_test.go
+++ b/sessions/planned_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"persimmonrock.example/platform/fault"
+	"persimmonrock.example/infra/fault"
 )
 
 // TestMain fixes the seed and the number of the drawn sessions, so that the
--- a/sessions/random_test.go
+++ b/sessions/random_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"persimmonrock.example/cmd/sample"
-	"persimmonrock.example/platform/fault"
+	"persimmonrock.example/infra/fault"
 	"persimmonrock.example/sessions/inproc"
 	"persimmonrock.example/structs"
 )
--- a/sessions/session_test.go
+++ b/sessions/session_test.go
@@ -17,7 +17,7 @@
 
 	"persimmonrock.example/backend"
 	"persimmonrock.example/cmd/sample"
-	"persimmonrock.example/platform/memory"
+	"persimmonrock.example/infra/memory"
 	"persimmonrock.example/sessions/inproc"
 	"persimmonrock.example/structs"
 )
