--- /dev/null
+++ b/agent/runner/orders.go
@@ -0,0 +1,278 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmonrock.example/infra/workerctl"
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// retryPause is the pause before an order is repeated.
+	retryPause = 30 * time.Millisecond
+	// notDoneTries is how often a start is repeated at a worker that turns
+	// it away: it may be unhealthy, and another worker serves better.
+	notDoneTries = 3
+	// settleTime bounds the repeats of a start without an answer. Then it is
+	// stopped, which voids it.
+	settleTime = 2500 * time.Millisecond
+)
+
+// Order takes the scheduler's orders. What becomes of them is told by Watch.
+func (r *Runner) Order(ctx context.Context, args dispatch.OrderArgs) dispatch.OrderReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	refused := r.accept(args.Claim)
+	if refused == "" && (r.life == nil || r.life.worker.ID != args.Worker) {
+		refused = dispatch.RefusedWorker
+	}
+	if refused == "" && r.grantEnd <= r.deps.Now() {
+		refused = dispatch.RefusedGrant
+	}
+	if refused != "" {
+		r.deps.Log.Info().Str("why", string(refused)).Uint64("epoch", args.Epoch).Uint64("newest", r.epoch).
+			Int("starts", len(args.Starts)).Int("stops", len(args.Stops)).Msg("orders refused")
+		return dispatch.OrderReply{Refused: refused}
+	}
+	r.forget(r.life, args.Seen)
+	for _, id := range args.Stops {
+		r.orderStop(ctx, r.life, id)
+	}
+	for _, o := range args.Starts {
+		r.orderStart(ctx, r.life, o, args.Payloads[o.Run.Task.Job])
+	}
+	return dispatch.OrderReply{}
+}
+
+// accept takes note of a scheduler's claim. An older scheduler's orders are
+// refused from the moment that a newer one has spoken.
+func (r *Runner) accept(c dispatch.Claim) dispatch.Refusal {
+	if c.Epoch < r.epoch {
+		return dispatch.RefusedEpoch
+	}
+	if c.Epoch > r.epoch {
+		r.deps.Log.Info().Uint64("epoch", c.Epoch).Uint64("before", r.epoch).Msg("new scheduler")
+		r.epoch = c.Epoch
+	}
+	if c.Process != r.cfg.Token {
+		return dispatch.RefusedProcess
+	}
+	if end := c.Echo + c.Grant; c.Echo > 0 && end > r.grantEnd {
+		r.grantEnd = end
+	}
+	return ""
+}
+
+func (r *Runner) orderStart(ctx context.Context, l *life, o dispatch.StartOrder, payload string) {
+	if x, ok := l.runs[o.Run]; ok {
+		if x.state != dispatch.RunVoid {
+			x.size(o)
+		}
+		return
+	}
+	for _, e := range l.ends {
+		if e.end.Run == o.Run {
+			return
+		}
+	}
+	x := &run{id: o.Run, payload: payload, checkpoint: o.Checkpoint, ticket: o.Ticket, wantedPace: 100, pace: 100}
+	x.size(o)
+	l.runs[o.Run] = x
+	if why := r.guard(l, x); why != "" {
+		r.counters.Refused++
+		r.makeVoid(l, x, why)
+		return
+	}
+	r.counters.Starts++
+	r.deps.Log.Info().Stringer("run", o.Run).Uint64("epoch", r.epoch).Int("cpu", o.Need.CPU).Int("memory", o.Need.Memory).
+		Bool("fills", o.Fills).Bool("checkpoint", o.Checkpoint != "").Msg("start")
+	go r.start(context.WithoutCancel(ctx), l, x)
+}
+
+func (x *run) size(o dispatch.StartOrder) {
+	x.need = o.Need
+	x.fills = o.Fills
+	x.tailTarget = o.TailTarget
+	x.sized = true
+}
+
+// guard is the last word on the worker's room: what runs, what was ordered
+// and what is being stopped all count until an end is listed. x is already
+// among the runs.
+func (r *Runner) guard(l *life, x *run) string {
+	if l.worker.Draining || l.left {
+		return "the worker is leaving"
+	}
+	if !l.listed {
+		return "the worker was not listed yet"
+	}
+	used, sized := l.used()
+	if !sized {
+		return "the size of a run is not known yet"
+	}
+	if !used.Fits(l.worker.Capacity) {
+		r.counters.RoomRefused++
+		return "no room"
+	}
+	return ""
+}
+
+// start repeats one order until its outcome is known.
+func (r *Runner) start(ctx context.Context, l *life, x *run) {
+	begun := r.deps.Now()
+	uncertain := false
+	for try := 1; ; try++ {
+		r.mu.Lock()
+		lease := r.leaseLimit(l)
+		current := r.life == l && x.state == dispatch.RunPending && !x.stopping
+		r.mu.Unlock()
+		if !current {
+			return
+		}
+		if lease == 0 || r.deps.Now()-begun > settleTime {
+			r.giveUp(ctx, l, x, uncertain, "no answer within the grant")
+			return
+		}
+		now, err := r.deps.Control.Start(ctx, l.worker.ID, workerctl.StartOrder{
+			Run: x.id, Payload: x.payload, Lease: lease, Token: r.cfg.Token, Checkpoint: x.checkpoint, Ticket: x.ticket,
+		})
+		done, reason := r.startAnswered(l, x, now, err, uncertain)
+		if done {
+			return
+		}
+		if reason != "" || errors.Is(err, workerctl.ErrNotDone) && try >= notDoneTries {
+			if reason == "" {
+				reason = "the worker turns starts away"
+			}
+			r.giveUp(ctx, l, x, uncertain, reason)
+			return
+		}
+		if errors.Is(err, workerctl.ErrUnknown) {
+			uncertain = true
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// startAnswered takes the answer to a start. done says that nothing is left
+// to do; else a reason is the worker's final refusal.
+func (r *Runner) startAnswered(l *life, x *run, now workerctl.Clock, err error, uncertain bool) (done bool, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life != l {
+		return true, ""
+	}
+	var refused *workerctl.RefusedError
+	switch {
+	case err == nil:
+		r.confirm(l, x, now)
+		return true, ""
+	case errors.Is(err, workerctl.ErrGone):
+		r.endLife("it answers that it is another life")
+		return true, ""
+	case errors.As(err, &refused):
+		// "Old" after an order without an answer, or after an earlier agent
+		// process: the run may have been there and ended. The next listing
+		// tells.
+		if refused.Reason == workerctl.RefusedOld {
+			r.confirm(l, x, now)
+			return true, ""
+		}
+		return false, "the worker refused: " + string(refused.Reason)
+	}
+	r.deps.Log.Warn().Err(err).Stringer("run", x.id).Bool("uncertain", uncertain).Msg("start not answered")
+	return false, ""
+}
+
+func (r *Runner) confirm(l *life, x *run, now workerctl.Clock) {
+	if x.state != dispatch.RunPending {
+		return
+	}
+	x.state = dispatch.RunPresent
+	x.confirmedAt = r.deps.Now()
+	x.changed = r.touch(false)
+	if now > l.clock.now {
+		l.clock = clockReading{now: now, at: x.confirmedAt}
+	}
+}
+
+// giveUp makes a start void: at once if no order of it can still be carried
+// out, else by a stop.
+func (r *Runner) giveUp(ctx context.Context, l *life, x *run, uncertain bool, reason string) {
+	r.mu.Lock()
+	if r.life != l || x.state != dispatch.RunPending {
+		r.mu.Unlock()
+		return
+	}
+	r.counters.Refused++
+	if !uncertain {
+		r.makeVoid(l, x, reason)
+		r.mu.Unlock()
+		return
+	}
+	begin := !x.stopping
+	x.stopping = true
+	x.reason = reason
+	r.mu.Unlock()
+	if begin {
+		r.stop(ctx, l, x)
+	}
+}
+
+func (r *Runner) orderStop(ctx context.Context, l *life, id workload.RunID) {
+	x, ok := l.runs[id]
+	if !ok {
+		// Nothing is known of the run: an order of an earlier process may
+		// still arrive, and the stop voids it.
+		for _, e := range l.ends {
+			if e.end.Run == id {
+				return
+			}
+		}
+		x = &run{id: id, sized: true, wantedPace: 100}
+		l.runs[id] = x
+	}
+	if x.stopping || x.state == dispatch.RunVoid {
+		return
+	}
+	x.stopping = true
+	r.counters.Stops++
+	r.deps.Log.Info().Stringer("run", id).Uint64("epoch", r.epoch).Msg("stop")
+	go r.stop(context.WithoutCancel(ctx), l, x)
+}
+
+// stop repeats a stop until it is answered. The listing after that shows the
+// run's end, or that it never was there.
+func (r *Runner) stop(ctx context.Context, l *life, x *run) {
+	for {
+		r.mu.Lock()
+		current := r.life == l && l.runs[x.id] == x
+		r.mu.Unlock()
+		if !current {
+			return
+		}
+		_, err := r.deps.Control.Stop(ctx, l.worker.ID, x.id, r.cfg.Token)
+		var refused *workerctl.RefusedError
+		if err == nil || errors.As(err, &refused) {
+			r.mu.Lock()
+			x.stopped = true
+			x.confirmedAt = r.deps.Now()
+			r.mu.Unlock()
+			r.kickHold()
+			return
+		}
+		if errors.Is(err, workerctl.ErrGone) {
+			r.mu.Lock()
+			if r.life == l {
+				r.endLife("it answers that it is another life")
+			}
+			r.mu.Unlock()
+			return
+		}
+		r.deps.Log.Warn().Err(err).Stringer("run", x.id).Msg("stop not answered")
+		time.Sleep(retryPause)
+	}
+}
--- /dev/null
+++ b/agent/runner/rpc.go
@@ -0,0 +1,28 @@
+package runner
+
+import (
+	"context"
+
+	"persimmonrock.example/wire/dispatch"
+)
+
+// RPC is the runner's part of net/rpc for the scheduler.
+type RPC struct {
+	ctx    context.Context
+	runner *Runner
+}
+
+// NewRPC returns what the scheduler may call until ctx ends.
+func NewRPC(ctx context.Context, r *Runner) *RPC { return &RPC{ctx: ctx, runner: r} }
+
+// Order implements the call of that name.
+func (a *RPC) Order(args dispatch.OrderArgs, reply *dispatch.OrderReply) error {
+	*reply = a.runner.Order(a.ctx, args)
+	return nil
+}
+
+// Watch implements the call of that name.
+func (a *RPC) Watch(args dispatch.WatchArgs, reply *dispatch.WatchReply) error {
+	*reply = a.runner.Watch(a.ctx, args)
+	return nil
+}
--- /dev/null
+++ b/agent/runner/runner.go
@@ -0,0 +1,209 @@
+// Package runner is the agent's side of jobs of steps. It is the only caller
+// of the worker beside it: it holds the worker's lease for as long as a
+// scheduler grants it, fences earlier agents of the same worker, keeps the
+// worker's room, carries out orders and reports runs and ends.
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/infra/workerctl"
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+// Config is what a runner is told when it is made.
+type Config struct {
+	// Token fences every earlier process of this agent. It is taken from the
+	// store, whose versions only go up, never from a clock.
+	Token uint64
+	// MaxLease is the longest lease that the worker grants.
+	MaxLease time.Duration
+	// Guards says that the worker itself refuses what does not fit.
+	Guards bool
+}
+
+// Deps are what a runner uses.
+type Deps struct {
+	Control workerctl.Control
+	Log     zerolog.Logger
+	// Now is a clock that goes on while the machine is suspended.
+	Now func() time.Duration
+}
+
+// Runner is one agent's state. All of it is under one lock, which is never
+// held during a call.
+type Runner struct {
+	cfg  Config
+	deps Deps
+
+	mu sync.Mutex
+	// version counts changes; urgent is the version of the last one that a
+	// waiting Watch should be woken for.
+	version uint64
+	urgent  uint64
+	wake    chan struct{}
+
+	epoch    uint64
+	grantEnd time.Duration
+
+	life *life
+	// candidate is a worker that has reported and is not yet known to live.
+	candidate *workload.Worker
+	// candidateSeq is the number of its latest report.
+	candidateSeq uint64
+	former       []workload.WorkerID
+	// kick wakes the holding loop.
+	kick chan struct{}
+	// refusedReports counts reports of workers that could not be read.
+	refusedReports int
+
+	counters Counters
+}
+
+// Counters are an agent's figures; all only go up.
+type Counters struct {
+	Starts, Stops, Paces, Holds, HoldErrors, Refused, Ends, Lives int64
+	// RoomRefused counts starts that the agent refused for want of room.
+	RoomRefused int64
+	// Unreadable counts reports of a worker that could not be read.
+	Unreadable int64
+}
+
+// life is what is known of one life of the worker.
+type life struct {
+	worker workload.Worker
+	// sequence is the number of the latest report.
+	sequence uint64
+	changed  uint64
+	listed   bool
+	left     bool
+	clock    clockReading
+	// got is the highest end that was read, seen the highest that is stored.
+	got  uint64
+	seen uint64
+	ends []endEntry
+	runs map[workload.RunID]*run
+	pace paceState
+}
+
+type endEntry struct {
+	end     workload.End
+	changed uint64
+}
+
+// clockReading is the worker's clock as read by an answer that arrived at
+// local time at.
+type clockReading struct {
+	now workerctl.Clock
+	at  time.Duration
+}
+
+// run is one run that is or may be on the worker.
+type run struct {
+	id    workload.RunID
+	state dispatch.RunState
+	// sized says that an order has told what the run takes; the runs of an
+	// earlier agent process are unsized until the scheduler repeats theirs.
+	sized      bool
+	need       workload.Resources
+	fills      bool
+	tailTarget time.Duration
+	payload    string
+	checkpoint string
+	ticket     string
+	// confirmedAt is when the worker confirmed the run, or that it is to
+	// stop: only a listing that was asked for later proves its absence.
+	confirmedAt time.Duration
+	stopping    bool
+	stopped     bool
+	reason      string
+	changed     uint64
+	pace        int
+	wantedPace  int
+	rough       float64
+}
+
+// maxFormer bounds the list of lives that have ended.
+const maxFormer = 8
+
+// New returns a runner.
+func New(cfg Config, deps Deps) *Runner {
+	return &Runner{cfg: cfg, deps: deps, wake: make(chan struct{}), kick: make(chan struct{}, 1)}
+}
+
+// Run holds the worker until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	go r.paceLoop(ctx)
+	r.holdLoop(ctx)
+}
+
+// Counters returns the figures so far.
+func (r *Runner) Counters() Counters {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counters
+}
+
+// touch counts a change; an urgent one wakes waiting Watch calls.
+func (r *Runner) touch(urgent bool) uint64 {
+	r.version++
+	if urgent {
+		r.urgent = r.version
+		close(r.wake)
+		r.wake = make(chan struct{})
+	}
+	return r.version
+}
+
+func (r *Runner) kickHold() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// leaseLimit returns the worker's clock reading until which the lease may be
+// held, or 0 if there is no grant. The grant runs on this machine's clock;
+// the reading arrived at or after the moment that it shows, so counting from
+// the arrival errs on the safe side but for the worker's slow clock, for
+// which the scheduler adds a margin.
+func (r *Runner) leaseLimit(l *life) workerctl.Clock {
+	now := r.deps.Now()
+	left := min(r.grantEnd-now, r.cfg.MaxLease-leaseMargin)
+	if left <= 0 || l.clock.at == 0 {
+		return 0
+	}
+	return l.clock.now.Add(now - l.clock.at + left)
+}
+
+// leaseMargin keeps a lease below the longest that the worker takes, after
+// the readings of its clock have aged.
+const leaseMargin = 200 * time.Millisecond
+
+// used is the counted room of everything that is or may be on the worker;
+// sized is false while the size of a run is not known.
+func (l *life) used() (sum workload.Resources, sized bool) {
+	sized = true
+	for _, x := range l.runs {
+		if x.state == dispatch.RunVoid {
+			continue
+		}
+		if !x.sized {
+			sized = false
+		}
+		sum = sum.Add(x.reserved())
+	}
+	return sum, sized
+}
+
+func (x *run) reserved() workload.Resources {
+	if x.fills {
+		return workload.Resources{Memory: x.need.Memory, GPU: x.need.GPU}
+	}
+	return x.need
+}
--- /dev/null
+++ b/cmd/machine/entry.go
@@ -0,0 +1,89 @@
+package machine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"crypto/rand"
+
+	"persimmonrock.example/entry/intake"
+	"persimmonrock.example/entry/scheduler"
+	"persimmonrock.example/platform/front"
+	"persimmonrock.example/platform/operator"
+	"persimmonrock.example/platform/store"
+)
+
+const (
+	// grantShare is the part of the longest lease that a scheduler grants.
+	grantShare = 0.6
+	// lingerAfterStop is how long a stopping entry serves calls on open
+	// connections, while the balancer learns that it is not ready.
+	lingerAfterStop = 1200 * time.Millisecond
+	// stopReserve is kept of the time to the kill.
+	stopReserve = 700 * time.Millisecond
+)
+
+// RunEntry runs an entry with the settings of the machine until it is told to
+// stop, and returns the exit status.
+func RunEntry(ctx context.Context, stderr io.Writer) int {
+	p, err := newProgram()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	defer p.flush()
+	if err := p.runEntry(ctx); err != nil {
+		p.log.Error().Err(err).Msg("entry ends")
+		return exitError
+	}
+	return exitOK
+}
+
+func (p *program) runEntry(ctx context.Context) error {
+	ctx, cancel := p.stopSignal(ctx)
+	defer cancel()
+	rows := store.New(p.settings.StoreAddress)
+	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig}, p.log, sinceBoot)
+	elector := scheduler.NewElector(scheduler.Config{
+		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(),
+		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
+	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Counters: &scheduler.Counters{}})
+	service := intake.New(rows, config, elector, intake.NewStoreClock(sinceBoot), p.log)
+	server := rpc.NewServer()
+	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
+		return err
+	}
+	if err := server.RegisterName("Entry", service.RPC()); err != nil {
+		return err
+	}
+	if err := p.servePeers(server); err != nil {
+		return err
+	}
+	clients, err := p.serveHTTP(p.settings.ClientListen, front.Handler(service))
+	if err != nil {
+		return err
+	}
+	if _, err := p.serveHTTP(p.settings.ReadyListen, front.ReadyHandler(service.Ready)); err != nil {
+		return err
+	}
+	p.log.Info().Str("clients", p.settings.ClientListen).Str("peers", p.peerAddress()).Msg("entry started")
+	// The configuration is followed while open calls are still answered.
+	go config.Run(context.WithoutCancel(ctx))
+	elector.Run(ctx)
+	return p.stopEntry(service, clients)
+}
+
+// stopEntry serves open connections for a moment, then ends them where no
+// call is open.
+func (p *program) stopEntry(service *intake.Service, clients *http.Server) error {
+	service.Stop()
+	p.log.Info().Msg("entry stops")
+	time.Sleep(lingerAfterStop)
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Grace-lingerAfterStop-stopReserve)
+	defer cancel()
+	return clients.Shutdown(ctx)
+}
--- a/cmd/persimmonrock/entry.go
+++ b/cmd/persimmonrock/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"persimmonrock.example/cmd/machine"
 	"persimmonrock.example/cmd/node"
 )
 
@@ -15,5 +16,8 @@
 )
 
 func runEntry(ctx context.Context, args []string, _, stderr io.Writer) int {
+	if machine.Configured() && len(args) == 0 {
+		return machine.RunEntry(ctx, stderr)
+	}
 	return node.RunEntry(ctx, args, stderr)
 }
--- /dev/null
+++ b/decide/placement/placement.go
@@ -0,0 +1,120 @@
+// Package placement chooses the worker of a task. It is a pure function of
+// what the caller knows: filter by what must hold, score what is left.
+package placement
+
+import "persimmonrock.example/structs/workload"
+
+// Candidate is one worker as the scheduler sees it.
+type Candidate struct {
+	Capacity workload.Resources
+	// Free is the counted room that is left.
+	Free workload.Resources
+	// FillLoad is the CPU of the filling tasks there.
+	FillLoad int
+	// Serving is the number of tasks with a tail target there.
+	Serving int
+	Rack    string
+	Labels  []string
+	// Suspect workers failed or lost tasks lately; they are used last.
+	Suspect bool
+	// OfStep is the number of the step's tasks there.
+	OfStep int
+	// Barred excludes the worker, whatever its room.
+	Barred bool
+}
+
+// Request is what a task needs.
+type Request struct {
+	Step *workload.Step
+	// Avoid is the index of a worker where the task failed before, or -1.
+	Avoid int
+	// Rack is where most of a coupled step runs, if anywhere.
+	Rack string
+}
+
+// fillShare is the part of the reserved CPU that filling work may count on
+// being unused. Lasting tasks use about four tenths of what they ask for.
+const fillShare = 0.45
+
+// Weights of the score. Room is a share of the capacity, 0 to 1; the others
+// outweigh it in the order given.
+const (
+	suspectPenalty = 8.0
+	rackPenalty    = 4.0
+	avoidPenalty   = 2.0
+	servingPenalty = 0.25
+)
+
+// Choose returns the index of the best worker, or -1 if the task fits on
+// none.
+func Choose(r Request, workers []Candidate) int {
+	best, bestScore := -1, 0.0
+	for i := range workers {
+		w := &workers[i]
+		if !fits(r.Step, w) {
+			continue
+		}
+		s := score(r, i, w)
+		if best < 0 || s > bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+func fits(s *workload.Step, w *Candidate) bool {
+	if w.Barred || !s.Reserved().Fits(w.Free) {
+		return false
+	}
+	if s.Spread > 0 && w.OfStep >= s.Spread {
+		return false
+	}
+	if s.Label != "" && !contains(w.Labels, s.Label) {
+		return false
+	}
+	return !s.Fills || w.FillLoad+s.Need.CPU <= unused(w)
+}
+
+// unused is the CPU that filling work may expect.
+func unused(w *Candidate) int {
+	reserved := w.Capacity.CPU - w.Free.CPU
+	return w.Free.CPU + int(fillShare*float64(reserved))
+}
+
+func score(r Request, i int, w *Candidate) float64 {
+	var s float64
+	if r.Step.Fills {
+		s = share(unused(w)-w.FillLoad, w.Capacity.CPU) - servingPenalty*float64(min(w.Serving, 3))
+	} else {
+		s = share(w.Free.CPU, w.Capacity.CPU) + share(w.Free.Memory, w.Capacity.Memory)/4
+	}
+	if w.Suspect {
+		s -= suspectPenalty
+	}
+	if i == r.Avoid {
+		s -= avoidPenalty
+	}
+	if r.Step.DataRack != "" && w.Rack != r.Step.DataRack {
+		s -= rackPenalty
+	}
+	if r.Step.Coupled && r.Rack != "" && w.Rack != r.Rack {
+		s -= rackPenalty
+	}
+	return s
+}
+
+func share(part, whole int) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func contains(labels []string, l string) bool {
+	for _, x := range labels {
+		if x == l {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/intake/clock.go
@@ -0,0 +1,37 @@
+package intake
+
+import (
+	"sync"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+)
+
+// StoreClock estimates the store's clock from its answers.
+type StoreClock struct {
+	now func() time.Duration
+
+	mu    sync.Mutex
+	store time.Duration
+	local time.Duration
+}
+
+// NewStoreClock returns a clock that reads the local one through now.
+func NewStoreClock(now func() time.Duration) *StoreClock { return &StoreClock{now: now} }
+
+// Set takes the clock of an answer that has just arrived.
+func (c *StoreClock) Set(at rowstore.Stamp) {
+	if at.Now == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store, c.local = at.Now, c.now()
+}
+
+// Now is the store's clock now.
+func (c *StoreClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store + c.now() - c.local
+}
--- /dev/null
+++ b/entry/intake/config.go
@@ -0,0 +1,106 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+const (
+	// configWait bounds how long the store holds the feed back, and so how
+	// long a connection that fell silent goes unnoticed. A change has to be
+	// in force within 2 s.
+	configWait = 500 * time.Millisecond
+	// configRetry is the pause after a read that failed.
+	configRetry = 100 * time.Millisecond
+)
+
+// ConfigSource tells where the operator's configuration is and how to read
+// it.
+type ConfigSource struct {
+	Key   rowstore.Key
+	Parse func([]byte) (*workload.Config, error)
+}
+
+// Follower keeps the newest configuration. Versions only go up within a
+// process.
+type Follower struct {
+	store   rowstore.Store
+	source  ConfigSource
+	log     zerolog.Logger
+	current atomic.Pointer[workload.Config]
+	// heard is when the store last answered, on now's clock.
+	heard atomic.Int64
+	now   func() time.Duration
+}
+
+// NewFollower returns a follower without a configuration.
+func NewFollower(store rowstore.Store, source ConfigSource, log zerolog.Logger, now func() time.Duration) *Follower {
+	return &Follower{store: store, source: source, log: log, now: now}
+}
+
+// Current returns the configuration in force, or nil.
+func (f *Follower) Current() *workload.Config { return f.current.Load() }
+
+// Heard returns how long ago the store last answered.
+func (f *Follower) Heard() time.Duration { return f.now() - time.Duration(f.heard.Load()) }
+
+// Run follows the configuration until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	after, listed := uint64(0), false
+	for ctx.Err() == nil {
+		var rows []rowstore.Row
+		var at rowstore.Stamp
+		var err error
+		if listed {
+			rows, at, err = f.store.Feed(ctx, f.source.Key.Table, after, configWait)
+		} else {
+			rows, _, at, err = f.store.List(ctx, f.source.Key.Table, f.source.Key.Part, f.source.Key.Key, f.source.Key.Key+"\x00")
+		}
+		if err != nil {
+			if listed && ctx.Err() == nil {
+				f.log.Warn().Err(err).Msg("configuration feed fails; reading anew")
+			}
+			// After any fault of the feed the row itself is read: a feed may
+			// have been silent while changes were made.
+			listed = listed && !errors.Is(err, rowstore.ErrCompacted) && !errors.Is(err, rowstore.ErrUnknown)
+			sleep(ctx, configRetry)
+			continue
+		}
+		f.heard.Store(int64(f.now()))
+		after, listed = max(after, at.Version), true
+		for _, row := range rows {
+			if row.Key == f.source.Key && !row.Deleted {
+				f.take(row)
+			}
+		}
+	}
+}
+
+func (f *Follower) take(row rowstore.Row) {
+	c, err := f.source.Parse(row.Value)
+	if err != nil {
+		f.log.Error().Err(err).Uint64("row", row.Version).Msg("configuration can't be read; the last one stays in force")
+		return
+	}
+	if now := f.current.Load(); now != nil && c.Version <= now.Version {
+		return
+	}
+	f.current.Store(c)
+	f.log.Info().Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("services", len(c.Services)).Msg("configuration in force")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/intake/intake.go
@@ -0,0 +1,374 @@
+// Package intake takes the clients' calls about jobs of steps at an entry:
+// it accepts a job once the store has it, shows states and cancels.
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/entry/scheduler"
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// writePause is the pause before a write is repeated.
+	writePause = 60 * time.Millisecond
+	// unavailableFor is how long a store that turns calls away is asked
+	// again before the client is: a refusal is to come at once.
+	unavailableFor = 250 * time.Millisecond
+	// retryAfter is when a refused client may come back. Outages of the
+	// store last seconds, and a client waits three.
+	retryAfter = time.Second
+	// peerTimeout bounds a question to the scheduler.
+	peerTimeout = 300 * time.Millisecond
+	// relayTimeout bounds a write that another entry makes.
+	relayTimeout = 900 * time.Millisecond
+	// noteTimeout bounds the word to the scheduler of a stored job; the
+	// store's feed finds those that were lost.
+	noteTimeout = 500 * time.Millisecond
+	// readyFor is how long after the store's last answer new connections are
+	// wanted.
+	readyFor = 2500 * time.Millisecond
+)
+
+// Counters are an entry's figures.
+type Counters struct {
+	Accepted, Repeated, Refused, Undecided, Relayed, States, StateReads, Cancels atomic.Int64
+}
+
+// Service answers the clients' calls.
+type Service struct {
+	store    rowstore.Store
+	config   *Follower
+	elector  *scheduler.Elector
+	log      zerolog.Logger
+	clock    *StoreClock
+	stopping atomic.Bool
+	Counters Counters
+}
+
+// New returns a service.
+func New(store rowstore.Store, config *Follower, elector *scheduler.Elector, clock *StoreClock, log zerolog.Logger) *Service {
+	return &Service{store: store, config: config, elector: elector, clock: clock, log: log}
+}
+
+// Stop says that the process is about to end.
+func (s *Service) Stop() { s.stopping.Store(true) }
+
+// Stopping reports whether the process is about to end.
+func (s *Service) Stopping() bool { return s.stopping.Load() }
+
+// Ready reports whether new connections are wanted here.
+func (s *Service) Ready() bool {
+	return !s.stopping.Load() && s.config.Current() != nil && s.config.Heard() < readyFor
+}
+
+// Queue finds the queue of a call.
+func (s *Service) Queue(host, path string) (workload.Queue, string, int64, error) {
+	c := s.config.Current()
+	if c == nil {
+		return workload.Queue{}, "", 0, workload.ErrNoConfig
+	}
+	q, rest, ok := c.Find(host, path)
+	if !ok {
+		return workload.Queue{}, "", 0, workload.ErrNoQueue
+	}
+	return q, rest, c.MaxBody, nil
+}
+
+// Submit stores j and returns nil once the store has it. The same identifier
+// is one job, however often and wherever it is handed in.
+func (s *Service) Submit(ctx context.Context, q workload.Queue, j workload.Job) error {
+	begun := time.Now()
+	j.Queue = q
+	j.Accepted = s.clock.Now().Milliseconds()
+	value, err := json.Marshal(j)
+	if err != nil {
+		return eris.Wrap(err, "encode a job")
+	}
+	key := scheduler.JobKey(j.ID)
+	outcome := s.write(ctx, rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: value}},
+	}, dispatch.StoreArgs{Job: &j})
+	s.log.Info().Str("job", string(j.ID)).Str("queue", q.Name).Str("outcome", outcome.String()).Dur("took", time.Since(begun)).
+		Uint64("config", s.config.Current().Version).Int("steps", len(j.Steps)).Msg("job handed in")
+	switch outcome {
+	case dispatch.OutcomeStored:
+		s.Counters.Accepted.Add(1)
+		s.note(dispatch.NoteArgs{Job: &j})
+		return nil
+	case dispatch.OutcomeUndecided:
+		s.Counters.Undecided.Add(1)
+		return workload.ErrUndecided
+	}
+	s.Counters.Refused.Add(1)
+	return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
+}
+
+// write applies a write whose condition is the absence of its row. It is
+// repeated until its outcome is known: a write without an answer may take
+// effect seconds later, and only a repeat under the same condition settles
+// it.
+func (s *Service) write(ctx context.Context, t rowstore.Txn, relay dispatch.StoreArgs) dispatch.Outcome {
+	begun := time.Now()
+	uncertain := false
+	for {
+		outcome, err := s.writeOnce(ctx, t)
+		if err == nil {
+			return outcome
+		}
+		uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
+		if relayed := s.relay(ctx, relay, err); relayed == dispatch.OutcomeStored {
+			return relayed
+		} else if relayed == dispatch.OutcomeUndecided {
+			uncertain = true
+		}
+		over := !uncertain && time.Since(begun) > unavailableFor
+		if ctx.Err() != nil || over {
+			break
+		}
+		sleep(ctx, writePause)
+	}
+	if uncertain {
+		return dispatch.OutcomeUndecided
+	}
+	return dispatch.OutcomeNone
+}
+
+// writeOnce makes one attempt. An error is rowstore.ErrUnavailable if it
+// proves that this attempt did nothing.
+func (s *Service) writeOnce(ctx context.Context, t rowstore.Txn) (dispatch.Outcome, error) {
+	stamp, err := s.store.Apply(ctx, t)
+	var conflict *rowstore.ConflictError
+	switch {
+	case err == nil:
+		s.clock.Set(stamp)
+		return dispatch.OutcomeStored, nil
+	case errors.As(err, &conflict):
+		// The row is there: an earlier attempt, or another entry's.
+		s.Counters.Repeated.Add(1)
+		return dispatch.OutcomeStored, nil
+	}
+	return dispatch.OutcomeNone, err
+}
+
+// relay asks the scheduler's entry to make the write where the store turns
+// this machine away: it may serve others.
+func (s *Service) relay(ctx context.Context, args dispatch.StoreArgs, cause error) dispatch.Outcome {
+	leader := s.elector.Leader()
+	if leader == nil || ctx.Err() != nil || args.Job == nil && args.Cancelled == "" {
+		return dispatch.OutcomeNone
+	}
+	var reply dispatch.StoreReply
+	err := leader.Call(ctx, "Entry.Store", args, &reply, relayTimeout)
+	s.Counters.Relayed.Add(1)
+	if err != nil {
+		s.log.Info().Err(err).AnErr("store", cause).Msg("write not relayed")
+		if errors.Is(err, dispatch.ErrNotSent) {
+			return dispatch.OutcomeNone
+		}
+		return dispatch.OutcomeUndecided
+	}
+	return reply.Outcome
+}
+
+// note tells the scheduler, without waiting for it.
+func (s *Service) note(args dispatch.NoteArgs) {
+	if term := s.elector.Term(); term != nil {
+		term.Note(args)
+		return
+	}
+	leader := s.elector.Leader()
+	if leader == nil {
+		return
+	}
+	go func() {
+		var reply dispatch.NoteReply
+		if err := leader.Call(context.Background(), "Scheduler.Note", args, &reply, noteTimeout); err != nil {
+			s.log.Debug().Err(err).Msg("scheduler not told; it finds the job in the store")
+		}
+	}()
+}
+
+// State returns a job's state, from the scheduler or else from the store.
+func (s *Service) State(ctx context.Context, _ workload.Queue, id workload.JobID) (workload.State, error) {
+	s.Counters.States.Add(1)
+	if !workload.ValidJobID(string(id)) {
+		return "", workload.ErrNoJob
+	}
+	if reply, ok := s.ask(ctx, id); ok && reply.Known {
+		return reply.State, nil
+	}
+	return s.readState(ctx, id)
+}
+
+func (s *Service) ask(ctx context.Context, id workload.JobID) (dispatch.StateReply, bool) {
+	if term := s.elector.Term(); term != nil {
+		return term.State(id), true
+	}
+	leader := s.elector.Leader()
+	if leader == nil {
+		return dispatch.StateReply{}, false
+	}
+	var reply dispatch.StateReply
+	err := leader.Call(ctx, "Scheduler.State", dispatch.StateArgs{ID: id}, &reply, peerTimeout)
+	return reply, err == nil && reply.Leading
+}
+
+// readState reads a job's state from the store. That there is no such job is
+// only known after the store was read.
+func (s *Service) readState(ctx context.Context, id workload.JobID) (workload.State, error) {
+	s.Counters.StateReads.Add(1)
+	exists, cancelled, err := s.exists(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	if !exists {
+		s.log.Info().Str("job", string(id)).Msg("no such job")
+		return "", workload.ErrNoJob
+	}
+	row, err := s.get(ctx, scheduler.ProgressKey(id))
+	if err != nil {
+		return "", err
+	}
+	state, err := scheduler.StoredState(row)
+	if err != nil {
+		return "", err
+	}
+	if cancelled && !state.Final() {
+		state = workload.Cancelled
+	}
+	return state, nil
+}
+
+// exists reads the rows of a job and its cancellation.
+func (s *Service) exists(ctx context.Context, id workload.JobID) (exists, cancelled bool, err error) {
+	key := scheduler.JobKey(id)
+	for {
+		rows, _, _, err := s.store.List(ctx, key.Table, key.Part, key.Key, key.Key+"~")
+		if err == nil {
+			for _, r := range rows {
+				exists = exists || r.Key == key
+				cancelled = cancelled || r.Key == scheduler.CancelKey(id)
+			}
+			return exists, cancelled, nil
+		}
+		if !s.again(ctx) {
+			return false, false, &workload.UnavailableError{RetryAfter: retryAfter, Cause: err}
+		}
+	}
+}
+
+func (s *Service) get(ctx context.Context, key rowstore.Key) (rowstore.Row, error) {
+	for {
+		row, err := rowstore.Get(ctx, s.store, key)
+		if err == nil {
+			return row, nil
+		}
+		if !s.again(ctx) {
+			return row, &workload.UnavailableError{RetryAfter: retryAfter, Cause: err}
+		}
+	}
+}
+
+// again pauses before a repeated read and reports whether there is time.
+func (s *Service) again(ctx context.Context) bool {
+	sleep(ctx, writePause)
+	return ctx.Err() == nil
+}
+
+// Cancel stores the cancellation of a job and returns nil once the store has
+// it.
+func (s *Service) Cancel(ctx context.Context, q workload.Queue, id workload.JobID) error {
+	if !workload.ValidJobID(string(id)) {
+		return workload.ErrNoJob
+	}
+	if reply, ok := s.ask(ctx, id); !ok || !reply.Known {
+		exists, _, err := s.exists(ctx, id)
+		if err != nil {
+			return err
+		}
+		if !exists {
+			return workload.ErrNoJob
+		}
+	}
+	key := scheduler.CancelKey(id)
+	outcome := s.write(ctx, rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: []byte("{}")}},
+	}, dispatch.StoreArgs{Cancelled: id})
+	s.log.Info().Str("job", string(id)).Str("queue", q.Name).Str("outcome", outcome.String()).Msg("cancel asked for")
+	switch outcome {
+	case dispatch.OutcomeStored:
+		s.Counters.Cancels.Add(1)
+		s.note(dispatch.NoteArgs{Cancelled: id})
+		return nil
+	case dispatch.OutcomeUndecided:
+		return workload.ErrUndecided
+	}
+	return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
+}
+
+// Waiting returns the number of a queue's jobs of which nothing has started.
+func (s *Service) Waiting(ctx context.Context, q workload.Queue) (int, error) {
+	for {
+		if reply := s.askWaiting(ctx, q.Name); reply.Leading {
+			return reply.Waiting, nil
+		}
+		if !s.again(ctx) {
+			return 0, &workload.UnavailableError{RetryAfter: retryAfter, Cause: eris.New("no scheduler is known")}
+		}
+	}
+}
+
+func (s *Service) askWaiting(ctx context.Context, queue string) dispatch.WaitingReply {
+	if term := s.elector.Term(); term != nil {
+		return term.Waiting(queue)
+	}
+	var reply dispatch.WaitingReply
+	if leader := s.elector.Leader(); leader != nil {
+		if err := leader.Call(ctx, "Scheduler.Waiting", dispatch.WaitingArgs{Queue: queue}, &reply, peerTimeout); err != nil {
+			s.log.Debug().Err(err).Msg("scheduler does not answer")
+			return dispatch.WaitingReply{}
+		}
+	}
+	return reply
+}
+
+// RPC is the service's part of net/rpc for other entries.
+type RPC struct{ service *Service }
+
+// RPC returns what other entries may call.
+func (s *Service) RPC() *RPC { return &RPC{service: s} }
+
+// Store makes a write for an entry that the store turns away.
+func (r *RPC) Store(args dispatch.StoreArgs, reply *dispatch.StoreReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	s := r.service
+	var key rowstore.Key
+	var value []byte
+	if args.Job != nil {
+		text, err := json.Marshal(args.Job)
+		if err != nil {
+			return eris.Wrap(err, "encode a job")
+		}
+		key, value = scheduler.JobKey(args.Job.ID), text
+	} else {
+		key, value = scheduler.CancelKey(args.Cancelled), []byte("{}")
+	}
+	reply.Outcome = s.write(ctx, rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: value}},
+	}, dispatch.StoreArgs{})
+	if reply.Outcome == dispatch.OutcomeStored {
+		s.note(dispatch.NoteArgs(args))
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/scheduler/commit.go
@@ -0,0 +1,260 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+const (
+	// renewEvery is the time between transactions of an idle scheduler.
+	renewEvery = 500 * time.Millisecond
+	// commitGap is the least time between two rounds of transactions. It
+	// gathers the ends and starts of that time in one; the users pay for
+	// each call.
+	commitGap = 15 * time.Millisecond
+	// commitRows bounds the rows of a transaction, below what it may hold.
+	commitRows = 80
+	// commitBytes bounds them in bytes before base64.
+	commitBytes = 600 << 10
+	// commitRetry is the pause after a transaction that failed.
+	commitRetry    = 40 * time.Millisecond
+	commitRetryMax = 400 * time.Millisecond
+)
+
+// commitLoop plans and stores, one transaction at a time, until the lease is
+// lost.
+func (t *Term) commitLoop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	last := time.Time{}
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.kick:
+			t.sleep(commitGap - time.Since(last))
+		case <-timer.C:
+		}
+		r := t.collect()
+		if len(r.txns) == 0 && time.Since(last) >= renewEvery {
+			r.txns = append(r.txns, txn{})
+		}
+		if len(r.txns) > 0 {
+			last = time.Now()
+		}
+		for i := range r.txns {
+			if !t.commit(&r.txns[i]) {
+				return
+			}
+			t.committed(&r.txns[i])
+		}
+		t.roundStored(r)
+		if !timer.Stop() {
+			select {
+			case <-timer.C:
+			default:
+			}
+		}
+		timer.Reset(renewEvery)
+	}
+}
+
+// round is what one plan has to store, and what may be done after it.
+type round struct {
+	txns []txn
+	// ends is the highest end applied before the round, by worker.
+	ends map[*worker]uint64
+}
+
+type txn struct {
+	puts []rowstore.Put
+	jobs []storedJob
+}
+
+// storedJob is a job as a transaction stores it.
+type storedJob struct {
+	job   *job
+	state workload.State
+	// placed holds the placements of which the agents may hear once x is
+	// stored.
+	placed []placedTask
+}
+
+type placedTask struct {
+	id   workload.TaskID
+	step *step
+	task *task
+	run  int
+}
+
+// collect plans, and encodes every changed job.
+func (t *Term) collect() round {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan()
+	r := round{ends: map[*worker]uint64{}}
+	for _, w := range t.workers {
+		if w.processed > w.stored {
+			r.ends[w] = w.processed
+		}
+	}
+	var x txn
+	size := 0
+	for _, j := range t.dirty {
+		j.dirty = false
+		if j.state.Final() && j.final == 0 {
+			j.final = t.storeNow()
+		}
+		value := encode(j.row())
+		if len(x.puts) >= commitRows || size+len(value) > commitBytes {
+			r.txns = append(r.txns, x)
+			x, size = txn{}, 0
+		}
+		size += len(value)
+		x.puts = append(x.puts, rowstore.Put{Key: ProgressKey(j.spec.ID), Value: value})
+		x.jobs = append(x.jobs, storedJob{job: j, state: j.state, placed: unordered(j)})
+	}
+	if len(x.puts) > 0 {
+		r.txns = append(r.txns, x)
+	}
+	t.dirty = nil
+	return r
+}
+
+// commit applies x under the lease. It returns false if the lease is lost.
+func (t *Term) commit(x *txn) bool {
+	lease := t.lease
+	lease.Count++
+	lease.Epoch = t.epoch
+	full := rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
+		Puts:  append([]rowstore.Put{{Key: leaseKey, Value: encode(lease)}}, x.puts...),
+	}
+	first := t.deps.Now()
+	pause := commitRetry
+	for t.ctx.Err() == nil {
+		sent := t.deps.Now()
+		stamp, err := t.deps.Store.Apply(t.ctx, full)
+		t.deps.Counters.Commits.Add(1)
+		if err == nil {
+			t.renewed(lease, stamp.Version, sent, stamp)
+			return true
+		}
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			if v := ownVersion(conflict, lease); v != 0 {
+				// An attempt without an answer was applied.
+				t.renewed(lease, v, first, rowstore.Stamp{})
+				return true
+			}
+			t.deps.Log.Warn().Uint64("epoch", t.epoch).Msg("term ends: another scheduler has taken the lease")
+			return false
+		}
+		t.deps.Counters.CommitErrors.Add(1)
+		t.deps.Log.Warn().Err(err).Int("rows", len(x.puts)).Dur("since", t.deps.Now()-first).Msg("transaction not stored yet")
+		t.sleep(pause)
+		pause = min(2*pause, commitRetryMax)
+	}
+	return false
+}
+
+// ownVersion returns the version of the lease row if it is the one that this
+// transaction wrote, else 0.
+func ownVersion(conflict *rowstore.ConflictError, want leaseRow) uint64 {
+	row := conflict.Find(leaseKey)
+	var have leaseRow
+	if row.Version == 0 || json.Unmarshal(row.Value, &have) != nil || have != want {
+		return 0
+	}
+	return row.Version
+}
+
+func (t *Term) renewed(lease leaseRow, version uint64, sent time.Duration, at rowstore.Stamp) {
+	t.lease, t.leaseVersion = lease, version
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.validUntil = max(t.validUntil, sent+validFor)
+	if at.Now > 0 {
+		t.storeClock = storeClock{store: at.Now, local: t.deps.Now()}
+	}
+}
+
+// committed shows clients what x has stored and hands its placements to the
+// agents.
+func (t *Term) committed(x *txn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range x.jobs {
+		s := &x.jobs[i]
+		if s.job.stored != s.state && s.state.Final() {
+			t.deps.Log.Info().Str("job", string(s.job.spec.ID)).Str("state", string(s.state)).
+				Int64("age_ms", t.storeNow()-s.job.spec.Accepted).Msg("job ended")
+			t.deps.Counters.JobsEnded.Add(1)
+		}
+		if !s.job.stored.Final() {
+			s.job.stored = s.state
+		}
+		t.orderStored(s)
+	}
+}
+
+// unordered lists the placements of which no agent has heard.
+func unordered(j *job) []placedTask {
+	if j.state.Final() {
+		return nil
+	}
+	var list []placedTask
+	j.each(func(id workload.TaskID, s *step, k *task) {
+		if k.state == taskPlaced && !k.ordered && !k.stopping {
+			list = append(list, placedTask{id: id, step: s, task: k, run: k.run})
+		}
+	})
+	return list
+}
+
+// orderStored hands the placements that are stored to their agents.
+func (t *Term) orderStored(x *storedJob) {
+	for _, p := range x.placed {
+		k := p.task
+		k.storedRun = max(k.storedRun, p.run)
+		if k.state != taskPlaced || k.run != p.run || k.ordered || k.stopping {
+			continue
+		}
+		w := t.workers[k.worker]
+		if w == nil || w.link == nil {
+			continue
+		}
+		k.ordered = true
+		w.link.addStart(x.job, p.id, p.step, k)
+	}
+}
+
+// roundStored lets the workers forget the ends whose effects are stored.
+func (t *Term) roundStored(r round) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for w, n := range r.ends {
+		w.stored = max(w.stored, n)
+		if w.link != nil {
+			w.link.nudge()
+		}
+	}
+}
+
+// release gives the lease up, so that another entry takes over at once.
+func (t *Term) release(ctx context.Context) {
+	lease := t.lease
+	lease.Count++
+	lease.Epoch = t.epoch
+	lease.Released = true
+	_, err := t.deps.Store.Apply(ctx, rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
+		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
+	})
+	t.deps.Log.Info().Err(err).Uint64("epoch", t.epoch).Msg("lease released")
+}
--- /dev/null
+++ b/entry/scheduler/elector.go
@@ -0,0 +1,228 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// pollEvery is the time between two looks at the lease.
+	pollEvery = 400 * time.Millisecond
+	// stillFor is how long the lease row must have stood still, by looks
+	// that all succeeded, before it is taken over. The holder renews it
+	// every half second; a slow store takes up to 0.9 s a transaction.
+	stillFor = 2200 * time.Millisecond
+	// goneFor replaces stillFor where nothing listens at the holder's
+	// address any more.
+	goneFor = 600 * time.Millisecond
+	// pingTimeout bounds the question to the holder.
+	pingTimeout = 350 * time.Millisecond
+	// takeJitter spreads the entries that find the lease free.
+	takeJitter = 60 * time.Millisecond
+	// lookGap is the longest time between two successful looks that still
+	// count as one watch.
+	lookGap = 1200 * time.Millisecond
+)
+
+// Counters are a scheduler's figures over all terms of a process.
+type Counters struct {
+	Terms, Jobs, JobsEnded, Placements, Ends, Void, Lost, Commits, CommitErrors, Preempted, Stalled atomic.Int64
+}
+
+// Elector watches the lease and serves terms.
+type Elector struct {
+	cfg  Config
+	deps Deps
+
+	mu sync.Mutex
+	// leader is the latest lease row that was read.
+	leader  leaseRow
+	version uint64
+	// link leads to the leader.
+	link *dispatch.Link
+	term *Term
+}
+
+// NewElector returns an elector.
+func NewElector(cfg Config, deps Deps) *Elector {
+	return &Elector{cfg: cfg, deps: deps}
+}
+
+// watch is what an elector has seen of the lease so far.
+type watch struct {
+	version uint64
+	// since is when this version was first seen, last the latest look.
+	since time.Duration
+	last  time.Duration
+	// refused is when the holder's address first refused a connection.
+	refused time.Duration
+}
+
+// Run watches the lease and serves terms until ctx ends.
+func (e *Elector) Run(ctx context.Context) {
+	var w watch
+	for ctx.Err() == nil {
+		row, err := rowstore.Get(ctx, e.deps.Store, leaseKey)
+		if err != nil {
+			sleep(ctx, pollEvery/2)
+			continue
+		}
+		lease, ok := e.saw(&w, row)
+		if ok && e.due(ctx, &w, lease) {
+			if term := e.take(ctx, row); term != nil {
+				e.serve(ctx, term)
+				w = watch{}
+				continue
+			}
+		}
+		sleep(ctx, pollEvery)
+	}
+}
+
+// saw takes one look into account. ok is false if the row can't be read.
+func (e *Elector) saw(w *watch, row rowstore.Row) (leaseRow, bool) {
+	now := e.deps.Now()
+	if row.Version != w.version || w.since == 0 || now-w.last > lookGap {
+		w.version, w.since = row.Version, now
+		w.refused = 0
+	}
+	w.last = now
+	var lease leaseRow
+	if row.Version == 0 {
+		return lease, true
+	}
+	if err := json.Unmarshal(row.Value, &lease); err != nil {
+		e.deps.Log.Error().Err(err).Msg("lease can't be read")
+		return lease, false
+	}
+	e.follow(lease, row.Version)
+	return lease, true
+}
+
+// follow keeps the link to the leader.
+func (e *Elector) follow(lease leaseRow, version uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if version <= e.version {
+		return
+	}
+	if lease.Process != e.leader.Process {
+		e.deps.Log.Info().Str("leader", lease.Node).Str("address", lease.Address).Uint64("version", version).Msg("scheduler known")
+		if e.link != nil {
+			e.link.Close()
+		}
+		e.link = dispatch.NewLink(lease.Address)
+	}
+	e.leader, e.version = lease, version
+}
+
+// due reports whether the lease may be taken: it is free, or its holder has
+// not renewed it for long enough.
+func (e *Elector) due(ctx context.Context, w *watch, lease leaseRow) bool {
+	if w.version == 0 || lease.Released || lease.Process == e.cfg.Process {
+		sleep(ctx, rand.N(takeJitter))
+		return true
+	}
+	still := e.deps.Now() - w.since
+	if still >= stillFor {
+		return true
+	}
+	e.mu.Lock()
+	link := e.link
+	e.mu.Unlock()
+	var reply dispatch.StateReply
+	err := link.Call(ctx, "Scheduler.State", dispatch.StateArgs{}, &reply, pingTimeout)
+	if err == nil || !refusedConnection(err) {
+		w.refused = 0
+		return false
+	}
+	if w.refused == 0 {
+		w.refused = e.deps.Now()
+	}
+	return e.deps.Now()-w.refused >= goneFor && still >= goneFor
+}
+
+// take writes the lease under the condition of the version that was seen.
+func (e *Elector) take(ctx context.Context, row rowstore.Row) *Term {
+	lease := leaseRow{Node: e.cfg.Node, Process: e.cfg.Process, Address: e.cfg.Address, Count: rand.Uint64() >> 1}
+	sent := e.deps.Now()
+	stamp, err := e.deps.Store.Apply(ctx, rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: leaseKey, Version: row.Version}},
+		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
+	})
+	version := stamp.Version
+	if errors.Is(err, rowstore.ErrUnknown) {
+		// Applied or not: if the row shows this very attempt, it was.
+		now, getErr := rowstore.Get(ctx, e.deps.Store, leaseKey)
+		var have leaseRow
+		if getErr != nil || now.Version == 0 || json.Unmarshal(now.Value, &have) != nil || have != lease {
+			return nil
+		}
+		version, err = now.Version, nil
+	}
+	if err != nil {
+		e.deps.Log.Info().Err(err).Msg("lease not taken")
+		return nil
+	}
+	e.follow(lease, version)
+	e.deps.Counters.Terms.Add(1)
+	e.deps.Log.Info().Uint64("epoch", version).Msg("lease taken")
+	return newTerm(ctx, e.cfg, e.deps, lease, version, sent, stamp)
+}
+
+func (e *Elector) serve(ctx context.Context, term *Term) {
+	e.mu.Lock()
+	e.term = term
+	e.mu.Unlock()
+	term.run()
+	e.mu.Lock()
+	e.term = nil
+	e.mu.Unlock()
+	e.deps.Log.Info().Uint64("epoch", term.epoch).Msg("term ended")
+	if ctx.Err() != nil {
+		released, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+		defer cancel()
+		term.release(released)
+	}
+}
+
+// releaseTimeout bounds the release of the lease by a process that stops.
+const releaseTimeout = 600 * time.Millisecond
+
+// Term returns the term that this process serves, or nil.
+func (e *Elector) Term() *Term {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term == nil || !e.term.ready() {
+		return nil
+	}
+	return e.term
+}
+
+// Leader returns the link to the process that holds the lease, or nil if
+// none is known or it is this one.
+func (e *Elector) Leader() *dispatch.Link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leader.Process == e.cfg.Process {
+		return nil
+	}
+	return e.link
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/scheduler/job.go
@@ -0,0 +1,274 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// taskState is where a task stands.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota
+	// taskPlaced: a run is on record at a worker; it counts there until its
+	// end, or the worker's, is known.
+	taskPlaced
+	taskDone
+)
+
+type task struct {
+	state taskState
+	run   int
+	// storedRun is the highest run that the store has on record.
+	storedRun  int
+	fails      int
+	agent      string
+	worker     workload.WorkerID
+	checkpoint string
+	// stopping says that the placed run was told to stop.
+	stopping bool
+	// ordered says that the placement is stored and was handed to the agent.
+	ordered  bool
+	placedAt time.Time
+	// avoid is the worker where the task failed last.
+	avoid workload.WorkerID
+	// notBefore delays the next run after repeated failures.
+	notBefore time.Time
+}
+
+type step struct {
+	spec  *workload.Step
+	tasks []task
+	done  int
+	// waiting counts the tasks that wait, whether their turn has come or not.
+	waiting int
+}
+
+func (s *step) complete() bool { return s.done == len(s.tasks) }
+
+type occurrence struct {
+	number int
+	steps  []*step
+}
+
+func (o *occurrence) complete() bool {
+	for _, s := range o.steps {
+		if !s.complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// open reports whether the tasks of step i may start.
+func (o *occurrence) open(i int) bool {
+	for _, a := range o.steps[i].spec.After {
+		if !o.steps[a].complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// job is a job as the scheduler knows it. state is what memory holds; stored
+// is what the store has, and what clients are shown: a state that only memory
+// holds would be lost with the process.
+type job struct {
+	spec        workload.Job
+	queue       workload.Queue
+	state       workload.State
+	stored      workload.State
+	final       int64
+	next        int
+	occurrences []*occurrence
+	dirty       bool
+	started     bool
+	arrival     int64
+}
+
+func newJob(spec workload.Job) *job {
+	return &job{spec: spec, queue: spec.Queue, state: workload.Queued, stored: workload.Queued, arrival: spec.Accepted}
+}
+
+func (j *job) newOccurrence(number int) *occurrence {
+	o := &occurrence{number: number}
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		o.steps = append(o.steps, &step{spec: s, tasks: make([]task, s.Count), waiting: s.Count})
+	}
+	return o
+}
+
+// begin adds the occurrences that are due.
+func (j *job) begin(now time.Time) {
+	if j.state.Final() {
+		return
+	}
+	if j.spec.Repeat.Count == 0 {
+		if j.next == 0 {
+			j.occurrences = append(j.occurrences, j.newOccurrence(0))
+			j.next = 1
+		}
+		return
+	}
+	for j.next < j.spec.Repeat.Count && !now.Before(j.spec.Repeat.Due(j.next)) {
+		j.occurrences = append(j.occurrences, j.newOccurrence(j.next))
+		j.next++
+		j.dirty = true
+	}
+}
+
+// find returns the task under id, or nil.
+func (j *job) find(id workload.TaskID) (*step, *task) {
+	for _, o := range j.occurrences {
+		if o.number != id.Occurrence {
+			continue
+		}
+		if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+			return nil, nil
+		}
+		s := o.steps[id.Step]
+		return s, &s.tasks[id.Index]
+	}
+	return nil, nil
+}
+
+// each calls f for every task of the occurrences that are not complete.
+func (j *job) each(f func(id workload.TaskID, s *step, t *task)) {
+	for _, o := range j.occurrences {
+		for si, s := range o.steps {
+			for ti := range s.tasks {
+				f(workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: ti}, s, &s.tasks[ti])
+			}
+		}
+	}
+}
+
+// release makes a placed task wait again, after its run ended without being
+// done or is known never to run.
+func (j *job) release(s *step, t *task, checkpoint string) {
+	t.state = taskWaiting
+	t.agent, t.worker = "", ""
+	t.stopping, t.ordered = false, false
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+	}
+	s.waiting++
+	j.dirty = true
+}
+
+// finish notes that a placed task is done, and with it perhaps the job.
+func (j *job) finish(s *step, t *task) {
+	t.state = taskDone
+	t.agent, t.worker, t.checkpoint = "", "", ""
+	t.stopping, t.ordered = false, false
+	s.done++
+	j.dirty = true
+	j.dropComplete()
+}
+
+// dropComplete forgets the occurrences that are complete.
+func (j *job) dropComplete() {
+	kept := j.occurrences[:0]
+	for _, o := range j.occurrences {
+		if !o.complete() {
+			kept = append(kept, o)
+		}
+	}
+	j.occurrences = kept
+	if len(kept) == 0 && j.next == j.spec.Occurrences() && !j.state.Final() {
+		j.state = workload.Completed
+	}
+}
+
+// row is what the store keeps of the job.
+func (j *job) row() progressRow {
+	r := progressRow{State: j.state, Final: j.final, Next: j.next}
+	refs := map[workerRef]int{}
+	for _, o := range j.occurrences {
+		or := occurrenceRow{Number: o.number}
+		placed := false
+		for _, s := range o.steps {
+			sr := j.stepRow(s, refs, &r)
+			placed = placed || len(sr.Tasks) > 0
+			or.Steps = append(or.Steps, sr)
+		}
+		if j.state.Final() && !placed {
+			continue
+		}
+		r.Occurrences = append(r.Occurrences, or)
+	}
+	return r
+}
+
+func (j *job) stepRow(s *step, refs map[workerRef]int, r *progressRow) stepRow {
+	var sr stepRow
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state == taskDone {
+			if sr.Done == nil {
+				sr.Done = make([]byte, (len(s.tasks)+7)/8)
+			}
+			sr.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if t.run == 0 || j.state.Final() && t.state != taskPlaced {
+			continue
+		}
+		tr := taskRow{Index: i, Run: t.run, Fails: t.fails, Checkpoint: t.checkpoint}
+		if t.state == taskPlaced {
+			tr.Worker = reference(workerRef{Agent: t.agent, Worker: t.worker}, refs, r)
+		}
+		sr.Tasks = append(sr.Tasks, tr)
+	}
+	return sr
+}
+
+// reference returns 1 more than the index of ref among the row's workers.
+func reference(ref workerRef, refs map[workerRef]int, r *progressRow) int {
+	if n, ok := refs[ref]; ok {
+		return n
+	}
+	r.Workers = append(r.Workers, ref)
+	refs[ref] = len(r.Workers)
+	return len(r.Workers)
+}
+
+// restore sets the job to what the store keeps of it.
+func (j *job) restore(r progressRow, now time.Time) {
+	j.state, j.stored, j.final, j.next = r.State, r.State, r.Final, r.Next
+	j.started = r.State != workload.Queued
+	for _, or := range r.Occurrences {
+		o := j.newOccurrence(or.Number)
+		for i, sr := range or.Steps {
+			if i < len(o.steps) {
+				o.steps[i].restore(sr, r.Workers, now)
+			}
+		}
+		j.occurrences = append(j.occurrences, o)
+	}
+}
+
+func (s *step) restore(sr stepRow, workers []workerRef, now time.Time) {
+	for i := range s.tasks {
+		if i/8 < len(sr.Done) && sr.Done[i/8]&(1<<(i%8)) != 0 {
+			s.tasks[i].state = taskDone
+			s.done++
+			s.waiting--
+		}
+	}
+	for _, tr := range sr.Tasks {
+		if tr.Index >= len(s.tasks) {
+			continue
+		}
+		t := &s.tasks[tr.Index]
+		t.run, t.storedRun, t.fails, t.checkpoint = tr.Run, tr.Run, tr.Fails, tr.Checkpoint
+		if tr.Worker > 0 && tr.Worker <= len(workers) {
+			ref := workers[tr.Worker-1]
+			t.state, t.agent, t.worker = taskPlaced, ref.Agent, ref.Worker
+			t.placedAt = now
+			s.waiting--
+		}
+	}
+}
--- /dev/null
+++ b/entry/scheduler/link.go
@@ -0,0 +1,481 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// watchWait bounds how long an agent waits for a change. It is also how
+	// old a grant's echo gets on a quiet agent.
+	watchWait = 900 * time.Millisecond
+	// watchSlack is the time for an answer beside that wait.
+	watchSlack = 700 * time.Millisecond
+	// orderTimeout bounds the taking of orders, which needs no call to the
+	// worker.
+	orderTimeout = 700 * time.Millisecond
+	// linkRetry is the pause after a call that failed.
+	linkRetry = 120 * time.Millisecond
+	// orderBatch bounds the starts of one message.
+	orderBatch = 64
+)
+
+// agentLink is the connection to one agent, and what is to be told to it.
+type agentLink struct {
+	node    string
+	link    *dispatch.Link
+	cancel  context.CancelFunc
+	term    *Term
+	worker  *worker
+	process uint64
+	since   uint64
+	// echo is the agent's clock in its latest answer, heard when that
+	// arrived.
+	echo  time.Duration
+	heard time.Duration
+	// nudged asks for a Watch at once, to pass on that ends are stored.
+	nudged chan struct{}
+	outbox chan struct{}
+	starts map[workload.RunID]dispatch.StartOrder
+	stops  map[workload.RunID]bool
+	silent bool
+}
+
+func (t *Term) newLink(node, address string) *agentLink {
+	ctx, cancel := context.WithCancel(t.ctx)
+	l := &agentLink{
+		node: node, link: dispatch.NewLink(address), cancel: cancel, term: t, nudged: make(chan struct{}, 1), outbox: make(chan struct{}, 1),
+		starts: map[workload.RunID]dispatch.StartOrder{}, stops: map[workload.RunID]bool{},
+	}
+	go l.watchLoop(ctx)
+	go l.orderLoop(ctx)
+	go l.acknowledgeLoop(ctx)
+	return l
+}
+
+func (l *agentLink) close() {
+	l.cancel()
+	l.link.Close()
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (l *agentLink) nudge() { signal(l.nudged) }
+
+func (l *agentLink) addStart(j *job, id workload.TaskID, s *step, k *task) {
+	r := workload.RunID{Task: id, Run: k.run}
+	l.starts[r] = dispatch.StartOrder{
+		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint,
+	}
+	signal(l.outbox)
+}
+
+func (l *agentLink) addStop(r workload.RunID) {
+	delete(l.starts, r)
+	l.stops[r] = true
+	signal(l.outbox)
+}
+
+// claim grants the agent's worker its lease, if the term itself is valid, and
+// keeps book of how long the lease may last. The caller holds the term's mu.
+func (l *agentLink) claim() dispatch.Claim {
+	t := l.term
+	c := dispatch.Claim{Epoch: t.epoch, Process: l.process}
+	if t.deps.Now() >= t.validUntil || l.process == 0 || l.worker == nil {
+		return c
+	}
+	c.Echo = l.echo
+	c.Grant = t.cfg.Grant
+	l.worker.bound = max(l.worker.bound, l.heard+t.leaseLength())
+	return c
+}
+
+// leaseLength is how long a lease that was granted may last on a worker whose
+// clock is slow.
+func (t *Term) leaseLength() time.Duration {
+	return t.cfg.Grant + time.Duration(clockDrift*float64(t.cfg.Grant)) + clockMargin
+}
+
+// watchLoop asks the agent for changes, one call at a time.
+func (l *agentLink) watchLoop(ctx context.Context) {
+	t := l.term
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		args := l.watchArgs(watchWait)
+		t.mu.Unlock()
+		var reply dispatch.WatchReply
+		err := l.link.Call(ctx, "Agent.Watch", args, &reply, watchWait+watchSlack)
+		if err != nil {
+			l.failed(ctx, err)
+			t.sleep(linkRetry)
+			continue
+		}
+		t.mu.Lock()
+		wake := l.apply(&reply)
+		t.mu.Unlock()
+		if wake {
+			t.wakeUp()
+		}
+		if reply.Refused != "" {
+			t.sleep(linkRetry)
+		}
+	}
+}
+
+func (l *agentLink) watchArgs(wait time.Duration) dispatch.WatchArgs {
+	args := dispatch.WatchArgs{Claim: l.claim(), Since: l.since, Wait: wait}
+	if l.worker != nil {
+		args.Worker = l.worker.id
+		args.Seen = l.worker.stored
+	}
+	return args
+}
+
+// acknowledgeLoop tells the agent at once that ends are stored, while the
+// watch goes on waiting for a change.
+func (l *agentLink) acknowledgeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.nudged:
+		}
+		l.term.mu.Lock()
+		args := dispatch.OrderArgs{Claim: l.claim()}
+		if l.worker != nil {
+			args.Worker = l.worker.id
+			args.Seen = l.worker.stored
+		}
+		l.term.mu.Unlock()
+		var reply dispatch.OrderReply
+		if err := l.link.Call(ctx, "Agent.Order", args, &reply, orderTimeout); err != nil && ctx.Err() == nil {
+			l.term.deps.Log.Debug().Err(err).Str("instance", l.node).Msg("ends not acknowledged yet")
+		}
+	}
+}
+
+func (l *agentLink) failed(ctx context.Context, err error) {
+	l.term.mu.Lock()
+	first := !l.silent
+	l.silent = true
+	l.term.mu.Unlock()
+	if first && ctx.Err() == nil {
+		l.term.deps.Log.Warn().Err(err).Str("instance", l.node).Msg("agent lost")
+	}
+}
+
+// apply takes an answer of the agent. It returns whether a plan is needed.
+func (l *agentLink) apply(reply *dispatch.WatchReply) bool {
+	t := l.term
+	if t.ctx.Err() != nil {
+		return false
+	}
+	if reply.Refused == dispatch.RefusedEpoch {
+		t.deps.Log.Warn().Str("instance", l.node).Uint64("epoch", t.epoch).Msg("agent has heard of a newer scheduler")
+		return true
+	}
+	if l.silent {
+		l.silent = false
+		t.deps.Log.Info().Str("instance", l.node).Msg("agent reached")
+	}
+	if reply.Process != l.process {
+		l.newProcess(reply.Process)
+	}
+	l.since = reply.Version
+	l.echo = reply.At
+	l.heard = t.deps.Now()
+	for _, id := range reply.Former {
+		t.dead(id, "its agent has seen its end")
+	}
+	if reply.Worker.ID == "" {
+		return true
+	}
+	wake := l.takeWorker(reply)
+	w := l.worker
+	for _, e := range reply.Ends {
+		if e.Number > w.processed {
+			w.processed = e.Number
+			t.applyEnd(w, e)
+			wake = true
+		}
+	}
+	for _, r := range reply.Runs {
+		wake = t.applyRun(l, w, r) || wake
+	}
+	return wake
+}
+
+// newProcess notes that another process of the agent answers: it knows
+// nothing of the orders of the earlier one.
+func (l *agentLink) newProcess(process uint64) {
+	l.process = process
+	l.since = 0
+	l.repeatOrders()
+}
+
+// repeatOrders puts every run on record at the worker into the outbox. An
+// agent takes an order that it knows for the size of its run.
+func (l *agentLink) repeatOrders() {
+	if l.worker == nil {
+		return
+	}
+	t := l.term
+	clear(l.starts)
+	clear(l.stops)
+	for r := range l.worker.runs {
+		j := t.jobs[r.Task.Job]
+		if j == nil {
+			continue
+		}
+		s, k := j.find(r.Task)
+		if k == nil || k.state != taskPlaced || k.run != r.Run {
+			continue
+		}
+		if k.stopping || j.state.Final() {
+			l.addStop(r)
+			k.stopping = true
+			continue
+		}
+		if k.ordered {
+			l.addStart(j, r.Task, s, k)
+		}
+	}
+}
+
+// takeWorker notes the living worker of the agent.
+func (l *agentLink) takeWorker(reply *dispatch.WatchReply) bool {
+	t := l.term
+	info := reply.Worker
+	changed := false
+	if l.worker == nil || l.worker.id != info.ID {
+		if l.worker != nil {
+			t.dead(l.worker.id, "its agent has another worker")
+		}
+		w := t.workers[info.ID]
+		if w == nil {
+			w = newWorker(info.ID, l.node)
+			t.workers[info.ID] = w
+		}
+		w.agent, w.link = l.node, l
+		l.worker = w
+		for _, other := range t.workers {
+			if other.agent == l.node && other != w {
+				t.dead(other.id, "its agent has another worker")
+			}
+		}
+		t.orderKnown(w)
+		l.repeatOrders()
+		changed = true
+	}
+	w := l.worker
+	if info.Draining && !w.info.Draining {
+		defer t.evacuate(w)
+	}
+	alive := reply.Listed
+	changed = changed || alive != w.alive || info.Draining != w.info.Draining || info.Capacity != w.info.Capacity
+	if alive != w.alive {
+		t.deps.Log.Info().Str("worker", string(info.ID)).Str("instance", l.node).Bool("alive", alive).Int("runs", len(w.runs)).
+			Int("cpu", info.Capacity.CPU).Int("memory", info.Capacity.Memory).Msg("worker")
+	}
+	w.info = info
+	w.alive = alive
+	return changed
+}
+
+// orderKnown marks the stored placements at a worker that this term has just
+// met as ordered, so that they are repeated to its agent.
+func (t *Term) orderKnown(w *worker) {
+	for r := range w.runs {
+		if j := t.jobs[r.Task.Job]; j != nil {
+			if _, k := j.find(r.Task); k != nil && k.state == taskPlaced && k.run == r.Run && k.run <= k.storedRun {
+				k.ordered = true
+			}
+		}
+	}
+}
+
+// applyRun takes what the agent says of a run.
+func (t *Term) applyRun(l *agentLink, w *worker, r dispatch.RunReport) bool {
+	j := t.jobs[r.Run.Task.Job]
+	var s *step
+	var k *task
+	if j != nil {
+		s, k = j.find(r.Run.Task)
+	}
+	known := k != nil && k.state == taskPlaced && k.run == r.Run.Run && k.worker == w.id
+	if r.State == dispatch.RunVoid {
+		if !known {
+			return false
+		}
+		t.deps.Log.Info().Stringer("run", r.Run).Str("worker", string(w.id)).Str("why", r.Reason).Msg("run void")
+		t.deps.Counters.Void.Add(1)
+		w.released(r.Run, k.stopping)
+		w.turnedAway(t.deps.Now())
+		j.release(s, k, "")
+		t.mark(j)
+		return true
+	}
+	if !known {
+		if r.State == dispatch.RunPresent {
+			// Nothing on record asks for this run: it was overtaken while
+			// its agent was out of reach.
+			l.addStop(r.Run)
+		}
+		return false
+	}
+	if r.Checkpoint != "" {
+		k.checkpoint = r.Checkpoint
+	}
+	return false
+}
+
+// dead notes that a life of a worker is over: nothing of it runs any more.
+func (t *Term) dead(id workload.WorkerID, why string) {
+	w := t.workers[id]
+	if w == nil {
+		return
+	}
+	delete(t.workers, id)
+	if w.link != nil && w.link.worker == w {
+		w.link.worker = nil
+	}
+	t.loseRuns(w, why)
+}
+
+// loseRuns makes everything on record at w wait again.
+func (t *Term) loseRuns(w *worker, why string) {
+	if w.alive || len(w.runs) > 0 {
+		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Str("why", why).Msg("worker lost")
+	}
+	w.alive = false
+	for r := range w.runs {
+		j := t.jobs[r.Task.Job]
+		if j != nil {
+			if s, k := j.find(r.Task); k != nil && k.state == taskPlaced && k.run == r.Run && k.worker == w.id {
+				t.deps.Counters.Lost.Add(1)
+				j.release(s, k, "")
+				t.mark(j)
+			}
+		}
+		w.remove(r)
+	}
+	w.stopping = workload.Resources{}
+	if w.link != nil {
+		// Should the worker come back, all of its runs are compared anew.
+		w.link.since = 0
+	}
+	t.wakeUp()
+}
+
+// loseWorkers finds the workers whose last lease is over.
+func (t *Term) loseWorkers() bool {
+	now := t.deps.Now()
+	lost := false
+	for _, w := range t.workers {
+		if w.bound > 0 && now > w.bound && (w.alive || len(w.runs) > 0) {
+			t.loseRuns(w, "its last lease is over")
+			lost = true
+		}
+	}
+	return lost
+}
+
+// evacuate moves lasting work off a worker that leaves: it ends with the
+// worker in any case, and the time until then is better spent elsewhere.
+func (t *Term) evacuate(w *worker) {
+	for r := range w.runs {
+		j := t.jobs[r.Task.Job]
+		if j == nil {
+			continue
+		}
+		s, k := j.find(r.Task)
+		if k != nil && k.state == taskPlaced && k.run == r.Run && (s.spec.Lasting || s.spec.Checkpointing) {
+			t.stop(r.Task, k)
+		}
+	}
+}
+
+// orderLoop sends what is in the outbox.
+func (l *agentLink) orderLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.outbox:
+		}
+		l.send(ctx)
+	}
+}
+
+func (l *agentLink) send(ctx context.Context) {
+	t := l.term
+	t.mu.Lock()
+	args, more := l.orders()
+	t.mu.Unlock()
+	if len(args.Starts)+len(args.Stops) == 0 {
+		return
+	}
+	var reply dispatch.OrderReply
+	err := l.link.Call(ctx, "Agent.Order", args, &reply, orderTimeout)
+	if err != nil || reply.Refused != "" {
+		if ctx.Err() == nil {
+			t.deps.Log.Info().Err(err).Str("refused", string(reply.Refused)).Str("instance", l.node).Int("starts", len(args.Starts)).
+				Int("stops", len(args.Stops)).Msg("orders not taken")
+			t.sleep(linkRetry)
+			signal(l.outbox)
+		}
+		return
+	}
+	t.mu.Lock()
+	for _, s := range args.Starts {
+		delete(l.starts, s.Run)
+	}
+	for _, r := range args.Stops {
+		delete(l.stops, r)
+	}
+	t.mu.Unlock()
+	if more {
+		signal(l.outbox)
+	}
+}
+
+// orders takes a message's worth from the outbox. Starts whose task was
+// placed elsewhere since are dropped.
+func (l *agentLink) orders() (args dispatch.OrderArgs, more bool) {
+	t := l.term
+	if l.worker == nil || l.process == 0 {
+		return args, false
+	}
+	args.Claim = l.claim()
+	args.Worker = l.worker.id
+	args.Seen = l.worker.stored
+	args.Payloads = map[workload.JobID]string{}
+	for r := range l.stops {
+		args.Stops = append(args.Stops, r)
+	}
+	for r, o := range l.starts {
+		j := t.jobs[r.Task.Job]
+		var k *task
+		if j != nil {
+			_, k = j.find(r.Task)
+		}
+		if k == nil || j.state.Final() || k.state != taskPlaced || k.run != r.Run || k.worker != l.worker.id {
+			delete(l.starts, r)
+			continue
+		}
+		if len(args.Starts) >= orderBatch {
+			return args, true
+		}
+		args.Starts = append(args.Starts, o)
+		args.Payloads[r.Task.Job] = j.spec.Payload
+	}
+	return args, false
+}
--- /dev/null
+++ b/entry/scheduler/load.go
@@ -0,0 +1,231 @@
+package scheduler
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+const (
+	// loadRetry is the pause after a read that failed.
+	loadRetry = 100 * time.Millisecond
+	// feedWait bounds how long the store holds a feed back. A connection may
+	// fall silent; the wait bounds how long that goes unnoticed.
+	feedWait = 800 * time.Millisecond
+	// agentsWait is the same for agents, which change rarely.
+	agentsWait = 2 * time.Second
+)
+
+// load reads what earlier schedulers and all entries have stored. It returns
+// the version from which the jobs' feed goes on.
+func (t *Term) load() (uint64, error) {
+	progress, err := t.listAll(progressTable, schedulerPart)
+	if err != nil {
+		return 0, err
+	}
+	jobs, stamp, err := t.listJobs()
+	if err != nil {
+		return 0, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeJobs(jobs)
+	now := time.Now()
+	for _, row := range progress {
+		t.takeProgress(row, now)
+	}
+	t.loaded = true
+	t.deps.Log.Info().Uint64("epoch", t.epoch).Int("jobs", len(t.jobs)).Int("active", len(t.active)).Int("workers", len(t.workers)).
+		Dur("took", t.deps.Now()-t.began).Msg("term begins")
+	return stamp, nil
+}
+
+// listAll reads a part until it succeeds or the term ends.
+func (t *Term) listAll(table, part string) ([]rowstore.Row, error) {
+	rows, _, err := t.listAllAt(table, part)
+	return rows, err
+}
+
+func (t *Term) listAllAt(table, part string) ([]rowstore.Row, rowstore.Stamp, error) {
+	for {
+		rows, at, err := rowstore.ListAll(t.ctx, t.deps.Store, table, part)
+		if err == nil {
+			return rows, at, nil
+		}
+		if t.ctx.Err() != nil || t.deps.Now() > t.began+validFor {
+			return nil, at, err
+		}
+		t.deps.Log.Warn().Err(err).Str("table", table).Msg("read fails")
+		t.sleep(loadRetry)
+	}
+}
+
+// listJobs reads all parts of the jobs' table.
+func (t *Term) listJobs() ([]rowstore.Row, uint64, error) {
+	var all []rowstore.Row
+	var first uint64
+	for p := range jobParts {
+		rows, at, err := t.listAllAt(JobsTable, strconv.Itoa(p))
+		if err != nil {
+			return nil, 0, err
+		}
+		if p == 0 {
+			first = at.Version
+		}
+		all = append(all, rows...)
+	}
+	return all, first, nil
+}
+
+// takeJobs takes rows of jobs and cancellations. The caller holds mu.
+func (t *Term) takeJobs(rows []rowstore.Row) {
+	for _, row := range rows {
+		id, cancel := splitJobKey(row.Key.Key)
+		if cancel || row.Deleted {
+			continue
+		}
+		if _, known := t.jobs[id]; known {
+			continue
+		}
+		var j workload.Job
+		if err := decode(row, &j); err != nil {
+			t.deps.Log.Error().Err(err).Msg("job can't be read")
+			continue
+		}
+		t.addJob(j)
+	}
+	for _, row := range rows {
+		if id, cancel := splitJobKey(row.Key.Key); cancel && !row.Deleted {
+			t.cancelJob(id)
+		}
+	}
+}
+
+// takeProgress sets a job to what an earlier term has stored.
+func (t *Term) takeProgress(row rowstore.Row, now time.Time) {
+	id := workload.JobID(row.Key.Key)
+	var p progressRow
+	if err := decode(row, &p); err != nil {
+		t.deps.Log.Error().Err(err).Msg("progress can't be read")
+		return
+	}
+	j := t.jobs[id]
+	if j == nil {
+		t.deps.Log.Warn().Str("job", string(id)).Msg("progress of a job that is not there")
+		return
+	}
+	cancelled := j.state == workload.Cancelled
+	j.occurrences = nil
+	j.restore(p, now)
+	j.begin(time.Now())
+	j.each(func(tid workload.TaskID, s *step, k *task) {
+		if k.state == taskPlaced {
+			t.orphan(k).add(workload.RunID{Task: tid, Run: k.run}, s.spec)
+			k.stopping = j.state.Final()
+		}
+	})
+	if cancelled && !j.state.Final() {
+		t.end(j, workload.Cancelled)
+	}
+}
+
+// orphan returns the worker of a stored placement. Until an agent reports
+// it, its runs go on for as long as the last lease that the earlier scheduler
+// may have granted.
+func (t *Term) orphan(k *task) *worker {
+	w := t.workers[k.worker]
+	if w == nil {
+		w = newWorker(k.worker, k.agent)
+		w.bound = t.began + validFor + t.leaseLength()
+		t.workers[k.worker] = w
+	}
+	return w
+}
+
+// followJobs takes new jobs and cancellations from the store's feed. Entries
+// also tell of theirs by a call; the feed finds those whose call was lost.
+func (t *Term) followJobs(after uint64) {
+	for t.ctx.Err() == nil {
+		rows, at, err := t.deps.Store.Feed(t.ctx, JobsTable, after, feedWait)
+		switch {
+		case errors.Is(err, rowstore.ErrCompacted):
+			rows, version, listErr := t.listJobs()
+			if listErr != nil {
+				t.sleep(loadRetry)
+				continue
+			}
+			t.take(rows)
+			after = version
+		case err != nil:
+			t.sleep(loadRetry)
+		default:
+			t.take(rows)
+			after = max(after, at.Version, lastVersion(rows))
+		}
+	}
+}
+
+func lastVersion(rows []rowstore.Row) uint64 {
+	if len(rows) == 0 {
+		return 0
+	}
+	return rows[len(rows)-1].Version
+}
+
+func (t *Term) take(rows []rowstore.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	t.mu.Lock()
+	t.takeJobs(rows)
+	t.mu.Unlock()
+	t.wakeUp()
+}
+
+// followAgents connects to every agent that has registered.
+func (t *Term) followAgents() {
+	after, ok := uint64(0), false
+	for t.ctx.Err() == nil {
+		var rows []rowstore.Row
+		var at rowstore.Stamp
+		var err error
+		if ok {
+			rows, at, err = t.deps.Store.Feed(t.ctx, AgentsTable, after, agentsWait)
+		} else {
+			rows, at, err = rowstore.ListAll(t.ctx, t.deps.Store, AgentsTable, agentsPart)
+		}
+		if err != nil {
+			ok = ok && !errors.Is(err, rowstore.ErrCompacted)
+			t.sleep(loadRetry)
+			continue
+		}
+		after, ok = max(after, at.Version), true
+		t.takeAgents(rows)
+	}
+}
+
+func (t *Term) takeAgents(rows []rowstore.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, row := range rows {
+		old := t.agents[row.Key.Key]
+		if row.Deleted {
+			continue
+		}
+		var a AgentRow
+		if err := decode(row, &a); err != nil {
+			t.deps.Log.Error().Err(err).Msg("agent can't be read")
+			continue
+		}
+		if old != nil && old.link.Address() == a.Address {
+			continue
+		}
+		if old != nil {
+			old.close()
+		}
+		t.agents[row.Key.Key] = t.newLink(row.Key.Key, a.Address)
+	}
+}
--- /dev/null
+++ b/entry/scheduler/plan.go
@@ -0,0 +1,241 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"persimmonrock.example/decide/placement"
+	"persimmonrock.example/structs/workload"
+)
+
+// plan places waiting tasks where there is room, in the order of the queue:
+// priority, then acceptance. A task that fits nowhere does not hold up those
+// behind it. The caller holds mu.
+func (t *Term) plan() {
+	if !t.loaded || len(t.workers) == 0 {
+		return
+	}
+	t.refresh()
+	v := t.newView()
+	for _, j := range t.active {
+		if !j.state.Final() {
+			t.planJob(v, j)
+		}
+	}
+}
+
+// view is the workers in a fixed order, as the placement sees them. It is
+// kept up to date as a plan goes on.
+type view struct {
+	workers    []*worker
+	service    string
+	candidates []placement.Candidate
+	// failed remembers the smallest needs that found no room.
+	now time.Duration
+}
+
+func (t *Term) newView() *view {
+	v := &view{now: t.deps.Now()}
+	for _, w := range t.workers {
+		if w.alive {
+			v.workers = append(v.workers, w)
+		}
+	}
+	sort.Slice(v.workers, func(i, k int) bool { return v.workers[i].id < v.workers[k].id })
+	return v
+}
+
+// serve prepares the candidates of a service.
+func (v *view) serve(service string) {
+	if v.service == service && v.candidates != nil {
+		return
+	}
+	v.service = service
+	v.candidates = v.candidates[:0]
+	for _, w := range v.workers {
+		v.candidates = append(v.candidates, w.candidate(service, v.now))
+	}
+}
+
+// refresh brings the list of active jobs and their queues up to date.
+func (t *Term) refresh() {
+	kept := t.active[:0]
+	for _, j := range t.active {
+		if !j.stored.Final() {
+			kept = append(kept, j)
+		}
+	}
+	t.active = kept
+	if c := t.deps.Config(); c != nil {
+		for _, j := range t.active {
+			for _, q := range c.Queues {
+				if q.Name == j.spec.Queue.Name {
+					j.queue = q
+				}
+			}
+		}
+	}
+	sort.SliceStable(t.active, func(i, k int) bool {
+		a, b := t.active[i], t.active[k]
+		if a.queue.Priority != b.queue.Priority {
+			return a.queue.Priority < b.queue.Priority
+		}
+		return a.arrival < b.arrival
+	})
+}
+
+func (t *Term) planJob(v *view, j *job) {
+	if j.queue.Advised {
+		return
+	}
+	v.serve(j.queue.Service)
+	for _, o := range j.occurrences {
+		for si, s := range o.steps {
+			if s.waiting == 0 || !o.open(si) {
+				continue
+			}
+			if s.spec.Gang {
+				t.planGang(v, j, o, si)
+			} else {
+				t.planStep(v, j, o, si)
+			}
+		}
+	}
+}
+
+func (t *Term) planStep(v *view, j *job, o *occurrence, si int) {
+	s := o.steps[si]
+	v.countStep(s)
+	now := time.Now()
+	for i := range s.tasks {
+		k := &s.tasks[i]
+		if k.state != taskWaiting || k.notBefore.After(now) {
+			continue
+		}
+		n := placement.Choose(placement.Request{Step: s.spec, Avoid: v.index(k.avoid), Rack: v.rackOfStep(s)}, v.candidates)
+		if n < 0 {
+			return
+		}
+		t.place(v, j, o, si, i, n, k.run+1)
+	}
+}
+
+// planGang places all tasks of a step with one run number, or none.
+func (t *Term) planGang(v *view, j *job, o *occurrence, si int) {
+	s := o.steps[si]
+	if s.waiting < len(s.tasks)-s.done {
+		return
+	}
+	v.countStep(s)
+	saved := append([]placement.Candidate(nil), v.candidates...)
+	var chosen []int
+	run := 0
+	checkpoint := ""
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].run)
+		if s.tasks[i].checkpoint != "" {
+			checkpoint = s.tasks[i].checkpoint
+		}
+		n := placement.Choose(placement.Request{Step: s.spec, Avoid: -1, Rack: v.rackOfChosen(chosen)}, v.candidates)
+		if n < 0 {
+			v.candidates = saved
+			return
+		}
+		v.take(n, s.spec)
+		chosen = append(chosen, n)
+	}
+	v.candidates = saved
+	for i, n := range chosen {
+		s.tasks[i].checkpoint = checkpoint
+		t.place(v, j, o, si, i, n, run+1)
+	}
+}
+
+// countStep sets how many tasks of s each candidate has.
+func (v *view) countStep(s *step) {
+	for i := range v.candidates {
+		v.candidates[i].OfStep = 0
+	}
+	if s.spec.Spread == 0 && !s.spec.Coupled {
+		return
+	}
+	for i := range s.tasks {
+		if s.tasks[i].state != taskPlaced {
+			continue
+		}
+		if n := v.index(s.tasks[i].worker); n >= 0 {
+			v.candidates[n].OfStep++
+		}
+	}
+}
+
+func (v *view) index(id workload.WorkerID) int {
+	if id == "" {
+		return -1
+	}
+	n := sort.Search(len(v.workers), func(i int) bool { return v.workers[i].id >= id })
+	if n < len(v.workers) && v.workers[n].id == id {
+		return n
+	}
+	return -1
+}
+
+func (v *view) rackOfStep(s *step) string {
+	if !s.spec.Coupled {
+		return ""
+	}
+	for i := range v.candidates {
+		if v.candidates[i].OfStep > 0 {
+			return v.candidates[i].Rack
+		}
+	}
+	return ""
+}
+
+func (v *view) rackOfChosen(chosen []int) string {
+	if len(chosen) == 0 {
+		return ""
+	}
+	return v.candidates[chosen[0]].Rack
+}
+
+// take reserves room on candidate n.
+func (v *view) take(n int, s *workload.Step) {
+	c := &v.candidates[n]
+	c.Free = c.Free.Sub(s.Reserved())
+	c.OfStep++
+	if s.Fills {
+		c.FillLoad += s.Need.CPU
+	}
+	if s.TailTarget > 0 {
+		c.Serving++
+	}
+}
+
+// place puts the next run of a task on record at candidate n. The agent hears
+// of it when the record is stored.
+func (t *Term) place(v *view, j *job, o *occurrence, si, i, n, run int) {
+	s := o.steps[si]
+	k := &s.tasks[i]
+	w := v.workers[n]
+	k.state = taskPlaced
+	k.run = run
+	k.agent, k.worker = w.agent, w.id
+	k.placedAt = time.Now()
+	k.ordered, k.stopping = false, false
+	s.waiting--
+	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
+	w.add(workload.RunID{Task: id, Run: run}, s.spec)
+	v.take(n, s.spec)
+	if j.state == workload.Queued {
+		j.state = workload.Running
+	}
+	j.started = true
+	t.mark(j)
+	t.deps.Counters.Placements.Add(1)
+	t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: run}).Str("worker", string(w.id)).Str("instance", w.agent).
+		Int("free_cpu", v.candidates[n].Free.CPU).Int64("wait_ms", t.storeNow()-j.spec.Accepted).Msg("placed")
+}
+
+// watchRuns is where runs that stand still are found.
+func (t *Term) watchRuns() bool { return false }
--- /dev/null
+++ b/entry/scheduler/rows.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+// Tables of the scheduler.
+const (
+	// JobsTable holds accepted jobs and cancellations, which entries write
+	// once. Its parts spread the writes of all entries.
+	JobsTable = "jobs"
+	// progressTable holds what has become of each job. Only the scheduler
+	// writes it, in one part together with its lease.
+	progressTable = "progress"
+	leaseTable    = "scheduler"
+	schedulerPart = "s"
+	// AgentsTable holds one row an agent: where it can be called. The row's
+	// version is the agent's fencing token.
+	AgentsTable = "agents"
+	agentsPart  = "a"
+)
+
+// jobParts spreads submissions: one part takes 150 transactions a second.
+const jobParts = 4
+
+// cancelSuffix marks the row of a job's cancellation.
+const cancelSuffix = ".c"
+
+var leaseKey = rowstore.Key{Table: leaseTable, Part: schedulerPart, Key: "lease"}
+
+// JobKey addresses the row of an accepted job.
+func JobKey(id workload.JobID) rowstore.Key {
+	return rowstore.Key{Table: JobsTable, Part: jobPart(id), Key: string(id)}
+}
+
+// CancelKey addresses the row of a job's cancellation.
+func CancelKey(id workload.JobID) rowstore.Key {
+	return rowstore.Key{Table: JobsTable, Part: jobPart(id), Key: string(id) + cancelSuffix}
+}
+
+// ProgressKey addresses the row of a job's progress.
+func ProgressKey(id workload.JobID) rowstore.Key {
+	return rowstore.Key{Table: progressTable, Part: schedulerPart, Key: string(id)}
+}
+
+// AgentKey addresses the row of an agent.
+func AgentKey(node string) rowstore.Key {
+	return rowstore.Key{Table: AgentsTable, Part: agentsPart, Key: node}
+}
+
+func jobPart(id workload.JobID) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash never fails
+	return strconv.Itoa(int(h.Sum32() % jobParts))
+}
+
+// splitJobKey tells a job's row from its cancellation's.
+func splitJobKey(key string) (id workload.JobID, cancel bool) {
+	base, cancel := strings.CutSuffix(key, cancelSuffix)
+	return workload.JobID(base), cancel
+}
+
+// AgentRow is where an agent can be called.
+type AgentRow struct {
+	Address    string `json:"a"`
+	DataCentre string `json:"d"`
+}
+
+// leaseRow is the scheduler's lease. Each transaction of the scheduler
+// renews it under the condition of its version, which makes the row the fence
+// of an earlier scheduler, the heartbeat, and the proof of whether a
+// transaction without an answer was applied, all in one.
+type leaseRow struct {
+	Node string `json:"n"`
+	// Process tells two processes of one machine apart.
+	Process string `json:"p"`
+	Address string `json:"a"`
+	// Count numbers the transactions of the term.
+	Count uint64 `json:"c"`
+	// Epoch is the version of the row that began the term; 0 in that row.
+	Epoch uint64 `json:"e,omitempty"`
+	// Released says that the scheduler has ended its term by itself.
+	Released bool `json:"r,omitempty"`
+}
+
+// progressRow is what the store keeps of a job beside the job itself.
+type progressRow struct {
+	State workload.State `json:"s"`
+	// Final is the store's clock at the final state, in milliseconds.
+	Final int64 `json:"f,omitempty"`
+	// Next is the first occurrence that was not begun.
+	Next        int             `json:"n,omitempty"`
+	Workers     []workerRef     `json:"w,omitempty"`
+	Occurrences []occurrenceRow `json:"o,omitempty"`
+}
+
+type workerRef struct {
+	Agent  string            `json:"a"`
+	Worker workload.WorkerID `json:"w"`
+}
+
+type occurrenceRow struct {
+	Number int       `json:"k,omitempty"`
+	Steps  []stepRow `json:"s"`
+}
+
+// stepRow keeps the done tasks as bits, and the others that were ever
+// started as tuples.
+type stepRow struct {
+	Done  []byte    `json:"d,omitempty"`
+	Tasks []taskRow `json:"t,omitempty"`
+}
+
+type taskRow struct {
+	Index int `json:"i,omitempty"`
+	Run   int `json:"r"`
+	Fails int `json:"f,omitempty"`
+	// Worker is 1 more than the index of the worker where the run is; 0 is
+	// none.
+	Worker     int    `json:"w,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		// The types above always encode.
+		panic(err)
+	}
+	return text
+}
+
+func decode(r rowstore.Row, into any) error {
+	return eris.Wrapf(json.Unmarshal(r.Value, into), "row %s/%s", r.Key.Table, r.Key.Key)
+}
+
+// StoredState returns the state that a progress row shows; a job without one
+// is queued.
+func StoredState(row rowstore.Row) (workload.State, error) {
+	if row.Version == 0 {
+		return workload.Queued, nil
+	}
+	var p progressRow
+	err := decode(row, &p)
+	return p.State, err
+}
+
+// EncodeAgent gives the row of an agent.
+func EncodeAgent(a AgentRow) []byte { return encode(a) }
--- /dev/null
+++ b/entry/scheduler/service.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"errors"
+	"syscall"
+
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+// refusedConnection reports whether nothing listens at the peer's address.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// ready reports whether the term knows all jobs and may speak for them.
+func (t *Term) ready() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded && t.ctx.Err() == nil && t.deps.Now() < t.validUntil
+}
+
+// Note takes a job or a cancellation that an entry has just stored.
+func (t *Term) Note(args dispatch.NoteArgs) {
+	t.mu.Lock()
+	if t.loaded {
+		if args.Job != nil {
+			t.addJob(*args.Job)
+		}
+		if args.Cancelled != "" {
+			t.cancelJob(args.Cancelled)
+		}
+	}
+	t.mu.Unlock()
+	t.wakeUp()
+}
+
+// State returns what the store has of a job's state.
+func (t *Term) State(id workload.JobID) dispatch.StateReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reply := dispatch.StateReply{Leading: t.loaded && t.deps.Now() < t.validUntil}
+	j := t.jobs[id]
+	if j == nil {
+		return reply
+	}
+	reply.Known = true
+	reply.State = j.stored
+	if j.state == workload.Cancelled && !j.stored.Final() {
+		// The cancellation itself is stored.
+		reply.State = workload.Cancelled
+	}
+	return reply
+}
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (t *Term) Waiting(queue string) dispatch.WaitingReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reply := dispatch.WaitingReply{Leading: t.loaded && t.deps.Now() < t.validUntil}
+	for _, j := range t.active {
+		if j.spec.Queue.Name == queue && !j.started && !j.state.Final() {
+			reply.Waiting++
+		}
+	}
+	return reply
+}
+
+// Service is the elector's part of net/rpc for other entries.
+type Service struct{ Elector *Elector }
+
+// Note implements the call of that name.
+func (s *Service) Note(args dispatch.NoteArgs, _ *dispatch.NoteReply) error {
+	if t := s.Elector.Term(); t != nil {
+		t.Note(args)
+	}
+	return nil
+}
+
+// State implements the call of that name.
+func (s *Service) State(args dispatch.StateArgs, reply *dispatch.StateReply) error {
+	if t := s.Elector.Term(); t != nil {
+		*reply = t.State(args.ID)
+	}
+	return nil
+}
+
+// Waiting implements the call of that name.
+func (s *Service) Waiting(args dispatch.WaitingArgs, reply *dispatch.WaitingReply) error {
+	if t := s.Elector.Term(); t != nil {
+		*reply = t.Waiting(args.Queue)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/scheduler/term.go
@@ -0,0 +1,347 @@
+// Package scheduler decides which task runs where. One entry at a time holds
+// the scheduler's lease, a row of the store that every one of its
+// transactions renews under a condition; the others watch the row and take
+// over when it stands still. What the scheduler has decided is in the store
+// before an agent hears of it, so that the next one finds it there.
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+// Config is what a scheduler is told.
+type Config struct {
+	Node    string
+	Process string
+	Address string
+	// Grant is how long after an agent's last word its worker's lease may
+	// last.
+	Grant time.Duration
+	// StatusFor is how long a final state can be asked for.
+	StatusFor time.Duration
+}
+
+// Deps are what a scheduler uses.
+type Deps struct {
+	Store rowstore.Store
+	Log   zerolog.Logger
+	// Now is a clock that goes on while the machine is suspended.
+	Now func() time.Duration
+	// Config returns the configuration in force, or nil.
+	Config func() *workload.Config
+	// Counters collects figures over all terms of the process.
+	Counters *Counters
+}
+
+const (
+	// validFor is how long after the sending of its last stored transaction
+	// a scheduler still grants leases to agents.
+	validFor = 4 * time.Second
+	// clockMargin is added to a grant for a worker's clock that runs 2 %
+	// slow, and for readings in whole milliseconds.
+	clockMargin = 300 * time.Millisecond
+	clockDrift  = 0.03
+	// tickInterval bounds how late a due time or a lost worker is noticed.
+	tickInterval = 50 * time.Millisecond
+)
+
+// Term is one term of the scheduler. Its state is under one lock, which is
+// never held during a call.
+type Term struct {
+	cfg   Config
+	deps  Deps
+	epoch uint64
+	// began is when the lease was taken.
+	began time.Duration
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	kick   chan struct{}
+
+	mu      sync.Mutex
+	jobs    map[workload.JobID]*job
+	active  []*job
+	resort  bool
+	dirty   []*job
+	agents  map[string]*agentLink
+	workers map[workload.WorkerID]*worker
+	// early holds cancellations whose job is not known yet.
+	early map[workload.JobID]bool
+	// validUntil is the end of the term's own validity.
+	validUntil time.Duration
+	loaded     bool
+
+	lease        leaseRow
+	leaseVersion uint64
+	storeClock   storeClock
+}
+
+// storeClock maps the store's clock to this process's.
+type storeClock struct {
+	store time.Duration
+	local time.Duration
+}
+
+func newTerm(ctx context.Context, cfg Config, deps Deps, lease leaseRow, version uint64, sent time.Duration, at rowstore.Stamp) *Term {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Term{
+		cfg: cfg, deps: deps, epoch: version, began: deps.Now(), ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1),
+		jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{},
+		early: map[workload.JobID]bool{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
+		storeClock: storeClock{store: at.Now, local: deps.Now()},
+	}
+}
+
+// run serves the term until the lease is lost or ctx ends.
+func (t *Term) run() {
+	defer t.cancel()
+	log := t.deps.Log
+	stamp, err := t.load()
+	if err != nil {
+		log.Error().Err(err).Msg("term ends: the store could not be read")
+		return
+	}
+	var group sync.WaitGroup
+	group.Go(func() { t.followJobs(stamp) })
+	group.Go(t.followAgents)
+	group.Go(t.tick)
+	t.commitLoop()
+	t.cancel()
+	group.Wait()
+}
+
+// wakeUp asks the commit loop for a plan.
+func (t *Term) wakeUp() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Term) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.ctx.Done():
+	}
+}
+
+// storeNow is the store's clock now, in milliseconds. The caller holds mu.
+func (t *Term) storeNow() int64 {
+	return (t.storeClock.store + t.deps.Now() - t.storeClock.local).Milliseconds()
+}
+
+// tick notices due times and lost workers.
+func (t *Term) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		changed := t.loseWorkers()
+		changed = t.beginOccurrences() || changed
+		changed = t.watchRuns() || changed
+		t.mu.Unlock()
+		if changed {
+			t.wakeUp()
+		}
+	}
+}
+
+func (t *Term) beginOccurrences() bool {
+	changed := false
+	now := time.Now()
+	for _, j := range t.active {
+		if j.spec.Repeat.Count > 0 && j.next < j.spec.Repeat.Count {
+			before := j.next
+			j.begin(now)
+			if j.next != before {
+				t.mark(j)
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+// mark puts a changed job on the list of what has to be stored.
+func (t *Term) mark(j *job) {
+	if !j.dirty {
+		j.dirty = true
+	}
+	for _, d := range t.dirty {
+		if d == j {
+			return
+		}
+	}
+	t.dirty = append(t.dirty, j)
+}
+
+// addJob takes a job that is stored.
+func (t *Term) addJob(spec workload.Job) {
+	if _, ok := t.jobs[spec.ID]; ok {
+		return
+	}
+	j := newJob(spec)
+	t.jobs[spec.ID] = j
+	t.active = append(t.active, j)
+	t.resort = true
+	j.begin(time.Now())
+	t.deps.Counters.Jobs.Add(1)
+	t.deps.Log.Info().Str("job", string(spec.ID)).Str("queue", spec.Queue.Name).Int("steps", len(spec.Steps)).
+		Int64("age_ms", t.storeNow()-spec.Accepted).Msg("job known")
+	if t.early[spec.ID] {
+		delete(t.early, spec.ID)
+		t.cancelJob(spec.ID)
+	}
+}
+
+// cancelJob takes a cancellation that is stored.
+func (t *Term) cancelJob(id workload.JobID) {
+	j, ok := t.jobs[id]
+	if !ok {
+		t.early[id] = true
+		return
+	}
+	if j.state.Final() {
+		return
+	}
+	t.deps.Log.Info().Str("job", string(id)).Str("state", string(j.state)).Msg("job cancelled")
+	t.end(j, workload.Cancelled)
+}
+
+// end gives a job its final state and stops what still runs of it.
+func (t *Term) end(j *job, s workload.State) {
+	j.state = s
+	j.final = t.storeNow()
+	t.mark(j)
+	j.each(func(id workload.TaskID, _ *step, k *task) {
+		if k.state == taskPlaced {
+			t.stop(id, k)
+		}
+	})
+}
+
+// stop orders the end of a placed run. Its room is free once the end, or
+// that it never ran, is reported.
+func (t *Term) stop(id workload.TaskID, k *task) {
+	if k.stopping {
+		return
+	}
+	k.stopping = true
+	w := t.workers[k.worker]
+	if w == nil || w.link == nil {
+		return
+	}
+	w.stopping = w.stopping.Add(w.reservedOf(workload.RunID{Task: id, Run: k.run}))
+	w.link.addStop(workload.RunID{Task: id, Run: k.run})
+}
+
+// EndReached is called for each end that an agent reports.
+func (t *Term) applyEnd(w *worker, e workload.End) {
+	t.deps.Counters.Ends.Add(1)
+	j := t.jobs[e.Run.Task.Job]
+	if j == nil {
+		t.deps.Log.Warn().Stringer("run", e.Run).Msg("end of a job that is not known")
+		return
+	}
+	s, k := j.find(e.Run.Task)
+	if k == nil || k.state != taskPlaced || k.run != e.Run.Run || k.worker != w.id {
+		t.deps.Log.Info().Stringer("run", e.Run).Str("how", string(e.Kind)).Str("worker", string(w.id)).Msg("end of a run that is not on record")
+		return
+	}
+	w.remove(e.Run)
+	w.judge(e, j, t.deps.Now())
+	t.settle(j, s, k, e, w)
+	t.mark(j)
+}
+
+func (t *Term) settle(j *job, s *step, k *task, e workload.End, w *worker) {
+	log := t.deps.Log.Info().Stringer("run", e.Run).Str("how", string(e.Kind)).Str("worker", string(w.id)).Dur("ran", time.Since(k.placedAt))
+	defer func() { log.Str("job_state", string(j.state)).Msg("run ended") }()
+	switch {
+	case j.state.Final():
+		j.release(s, k, "")
+	case e.Kind == workload.EndDone && s.spec.Gang:
+		t.finishGang(j, s, e.Run.Run)
+	case e.Kind == workload.EndDone && !s.spec.Lasting:
+		j.finish(s, k)
+	case e.Kind == workload.EndFailed:
+		t.failed(j, s, k, e, w)
+	default:
+		j.release(s, k, e.Checkpoint)
+		t.breakGang(j, s, e.Run)
+	}
+	if j.state.Final() && j.final == 0 {
+		j.final = t.storeNow()
+	}
+}
+
+// failedPause delays the next run of a lasting task that keeps failing, by
+// this much for each failure, up to maxFailedPause.
+const (
+	failedPause    = 100 * time.Millisecond
+	maxFailedPause = time.Second
+)
+
+func (t *Term) failed(j *job, s *step, k *task, e workload.End, w *worker) {
+	k.fails++
+	k.avoid = w.id
+	j.release(s, k, e.Checkpoint)
+	if s.spec.Lasting {
+		k.notBefore = time.Now().Add(min(maxFailedPause, failedPause*time.Duration(k.fails-1)))
+		return
+	}
+	if j.queue.MaxAttempts > 0 && k.fails >= j.queue.MaxAttempts {
+		t.deps.Log.Info().Str("job", string(j.spec.ID)).Stringer("run", e.Run).Int("failures", k.fails).Msg("job failed")
+		t.end(j, workload.Failed)
+		return
+	}
+	t.breakGang(j, s, e.Run)
+}
+
+// finishGang takes the end of one member for the end of all.
+func (t *Term) finishGang(j *job, s *step, run int) {
+	for i := range s.tasks {
+		k := &s.tasks[i]
+		if k.state == taskDone {
+			continue
+		}
+		if k.state == taskPlaced {
+			if w := t.workers[k.worker]; w != nil {
+				w.removeTask(j.spec.ID, s, i, run)
+			}
+		} else {
+			s.waiting--
+		}
+		k.state = taskDone
+		s.done++
+	}
+	j.dirty = true
+	j.dropComplete()
+}
+
+// breakGang stops the other members of a gang of which one has ended.
+func (t *Term) breakGang(j *job, s *step, r workload.RunID) {
+	if !s.spec.Gang {
+		return
+	}
+	for i := range s.tasks {
+		k := &s.tasks[i]
+		if k.state == taskPlaced && k.run == r.Run {
+			t.stop(workload.TaskID{Job: j.spec.ID, Occurrence: r.Task.Occurrence, Step: r.Task.Step, Index: i}, k)
+		}
+	}
+}
--- /dev/null
+++ b/entry/scheduler/worker.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"strings"
+	"time"
+
+	"persimmonrock.example/decide/placement"
+	"persimmonrock.example/structs/workload"
+)
+
+// worker is one life of a worker as the scheduler sees it.
+type worker struct {
+	id workload.WorkerID
+	// agent is the node of its agent, link the connection; link is nil while
+	// no agent of this term has reported the worker.
+	agent string
+	link  *agentLink
+	info  workload.Worker
+	// alive says that the agent has listed it and its grant has not run out.
+	alive bool
+	// bound is when the last lease that may have been granted is over.
+	bound time.Duration
+	// runs are the runs on record there, with what they take.
+	runs map[workload.RunID]reservation
+	used workload.Resources
+	// fillLoad is the CPU of filling runs, serving the number of runs with a
+	// target for their tail.
+	fillLoad int
+	serving  int
+	// stopping is the part of used that is being stopped.
+	stopping workload.Resources
+	// processed is the highest end applied, stored the highest whose effect
+	// is stored.
+	processed uint64
+	stored    uint64
+	health    health
+}
+
+type reservation struct {
+	counted workload.Resources
+	fill    int
+	serves  bool
+}
+
+func newWorker(id workload.WorkerID, agent string) *worker {
+	return &worker{id: id, agent: agent, runs: map[workload.RunID]reservation{}}
+}
+
+// add counts a run.
+func (w *worker) add(r workload.RunID, s *workload.Step) {
+	if _, ok := w.runs[r]; ok {
+		return
+	}
+	v := reservation{counted: s.Reserved(), serves: s.TailTarget > 0}
+	if s.Fills {
+		v.fill = s.Need.CPU
+	}
+	w.runs[r] = v
+	w.used = w.used.Add(v.counted)
+	w.fillLoad += v.fill
+	if v.serves {
+		w.serving++
+	}
+}
+
+func (w *worker) reservedOf(r workload.RunID) workload.Resources { return w.runs[r].counted }
+
+// remove frees the room of a run.
+func (w *worker) remove(r workload.RunID) {
+	v, ok := w.runs[r]
+	if !ok {
+		return
+	}
+	delete(w.runs, r)
+	w.used = w.used.Sub(v.counted)
+	w.fillLoad -= v.fill
+	if v.serves {
+		w.serving--
+	}
+	if len(w.runs) == 0 {
+		w.stopping = workload.Resources{}
+	}
+}
+
+// released is remove for a run that was being stopped.
+func (w *worker) released(r workload.RunID, stopping bool) {
+	if stopping {
+		w.stopping = w.stopping.Sub(w.reservedOf(r))
+	}
+	w.remove(r)
+}
+
+func (w *worker) removeTask(id workload.JobID, s *step, index, run int) {
+	for r := range w.runs {
+		if r.Task.Job == id && r.Task.Index == index && r.Run == run && &s.tasks[index] != nil {
+			w.remove(r)
+			return
+		}
+	}
+}
+
+// candidate is the worker as the placement sees it.
+func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
+	return placement.Candidate{
+		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used), FillLoad: w.fillLoad, Serving: w.serving,
+		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now),
+		Barred: !w.alive || w.info.Draining || w.info.Service != service,
+	}
+}
+
+// rackOf finds the rack among a worker's labels: the first label is the
+// worker's kind, the last its rack.
+func rackOf(labels []string) string {
+	if len(labels) < 2 {
+		return ""
+	}
+	for _, l := range labels[1:] {
+		if strings.HasPrefix(l, "r") {
+			return l
+		}
+	}
+	return labels[len(labels)-1]
+}
+
+// health tells a worker that fails what it starts from tasks that fail
+// everywhere: failures count by job, and one success clears them.
+type health struct {
+	failing map[workload.JobID]bool
+	until   time.Duration
+}
+
+const (
+	// suspectAfter is the number of jobs in a row of which a run failed.
+	suspectAfter = 3
+	// suspectFor is how long such a worker is used last.
+	suspectFor = 5 * time.Second
+)
+
+func (h *health) suspect(now time.Duration) bool { return now < h.until }
+
+// judge takes an end into account.
+func (w *worker) judge(e workload.End, j *job, now time.Duration) {
+	switch e.Kind {
+	case workload.EndDone:
+		w.health.failing = nil
+	case workload.EndFailed:
+		if w.health.failing == nil {
+			w.health.failing = map[workload.JobID]bool{}
+		}
+		w.health.failing[j.spec.ID] = true
+		if len(w.health.failing) >= suspectAfter {
+			w.health.until = now + suspectFor
+		}
+	}
+}
+
+// turnedAway notes that the worker turned a start away.
+func (w *worker) turnedAway(now time.Duration) { w.health.until = now + suspectFor/2 }
--- /dev/null
+++ b/infra/rowstore/rowstore.go
@@ -0,0 +1,143 @@
+// Package rowstore declares the store that keeps what must outlive every
+// process: rows in tables, split into parts, changed by conditional
+// transactions, and followed by a feed of changes.
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Key addresses a row. All rows of one transaction share a Part.
+type Key struct {
+	Table string
+	Part  string
+	Key   string
+}
+
+// Row is one row. Versions come from one counter of the whole store, so that
+// a later write of any row has a higher one.
+type Row struct {
+	Key     Key
+	Value   []byte
+	Version uint64
+	// Deleted marks a dropped row in a feed.
+	Deleted bool
+}
+
+// Cond demands that a row has exactly this version; 0 demands its absence.
+type Cond struct {
+	Key     Key
+	Version uint64
+}
+
+// Put writes a row.
+type Put struct {
+	Key   Key
+	Value []byte
+}
+
+// Txn is applied whole or not at all.
+type Txn struct {
+	Conds   []Cond
+	Puts    []Put
+	Deletes []Key
+}
+
+// Limits of one transaction, from the users' pages.
+const (
+	MaxTxnEntries = 100
+	MaxTxnBytes   = 1 << 20
+)
+
+// Stamp is the store's newest version and its clock at an answer.
+type Stamp struct {
+	Version uint64
+	// Now is a steady clock of the store.
+	Now time.Duration
+}
+
+// Store is the client's view of the store. Errors: *ConflictError,
+// ErrUnavailable and ErrCompacted prove that nothing was done; ErrUnknown
+// proves nothing: a transaction may still be applied seconds later, if its
+// conditions hold then.
+type Store interface {
+	// Apply applies t and returns the version of all rows that it put.
+	Apply(ctx context.Context, t Txn) (Stamp, error)
+	// List returns the rows of one part of a table from key from on, up to
+	// but without key to (empty: no bound), as of one moment. more says that
+	// rows were left out.
+	List(ctx context.Context, table, part, from, to string) (rows []Row, more bool, at Stamp, err error)
+	// Feed waits up to wait for changes of a table after a version and
+	// returns them in order.
+	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, Stamp, error)
+}
+
+// Errors of a Store.
+var (
+	// ErrUnavailable says that the call had no effect and never will.
+	ErrUnavailable = errors.New("row store: unavailable")
+	// ErrUnknown says that the effect is not known and may come later.
+	ErrUnknown = errors.New("row store: outcome unknown")
+	// ErrCompacted says that the feed no longer reaches back that far.
+	ErrCompacted = errors.New("row store: history dropped")
+)
+
+// ConflictError says that a condition did not hold, and what the rows of the
+// conditions are now.
+type ConflictError struct {
+	Rows []Row
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("row store: a condition on %d rows does not hold", len(e.Rows))
+}
+
+// Find returns the row under k among the current rows; a row that is absent
+// has version 0.
+func (e *ConflictError) Find(k Key) Row {
+	for _, r := range e.Rows {
+		if r.Key == k && !r.Deleted {
+			return r
+		}
+	}
+	return Row{Key: k}
+}
+
+// Get reads one row; a row that is absent has version 0.
+func Get(ctx context.Context, s Store, k Key) (Row, error) {
+	rows, _, _, err := s.List(ctx, k.Table, k.Part, k.Key, k.Key+"\x00")
+	if err != nil {
+		return Row{}, err
+	}
+	for _, r := range rows {
+		if r.Key.Key == k.Key {
+			return r, nil
+		}
+	}
+	return Row{Key: k}, nil
+}
+
+// ListAll reads a whole part of a table, page by page. The stamp is that of
+// the first page, so a feed that starts there misses nothing.
+func ListAll(ctx context.Context, s Store, table, part string) ([]Row, Stamp, error) {
+	var all []Row
+	var first Stamp
+	from := ""
+	for page := 0; ; page++ {
+		rows, more, at, err := s.List(ctx, table, part, from, "")
+		if err != nil {
+			return nil, Stamp{}, err
+		}
+		if page == 0 {
+			first = at
+		}
+		all = append(all, rows...)
+		if !more || len(rows) == 0 {
+			return all, first, nil
+		}
+		from = rows[len(rows)-1].Key.Key + "\x00"
+	}
+}
--- /dev/null
+++ b/structs/workload/config.go
@@ -0,0 +1,65 @@
+package workload
+
+import (
+	"strings"
+	"time"
+)
+
+// Queue is one queue of a configuration.
+type Queue struct {
+	Name string `json:"n"`
+	// Host and Prefix select the queue of a call.
+	Host   string `json:"-"`
+	Prefix string `json:"-"`
+	// Service is the service whose workers run the tasks.
+	Service string `json:"s"`
+	// Priority 0 comes first.
+	Priority int `json:"p,omitempty"`
+	// MaxAttempts is the number of failed runs of a task that fail its job.
+	MaxAttempts int `json:"a,omitempty"`
+	// Stretch and TargetLatency give the objective: Stretch times the
+	// longest chain of work, and TargetLatency more.
+	Stretch       float64       `json:"x,omitempty"`
+	TargetLatency time.Duration `json:"t,omitempty"`
+	// Timeout bounds a client's call; 0 is no bound.
+	Timeout time.Duration `json:"-"`
+	// Advised queues only run on workers that the policy service names.
+	Advised bool `json:"v,omitempty"`
+}
+
+// Service is one service of a configuration.
+type Service struct {
+	Name string
+	// Guards says that its workers refuse what does not fit.
+	Guards bool
+	// HealthPath is where a worker of the service tells its health.
+	HealthPath string
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	Version  uint64
+	Queues   []Queue
+	Services []Service
+	// MaxBody bounds the body of a client's call, in bytes; 0 is no bound.
+	MaxBody int64
+}
+
+// Find returns the queue of a call and the rest of its path. The longest
+// prefix wins.
+func (c *Config) Find(host, path string) (Queue, string, bool) {
+	best := -1
+	for i, q := range c.Queues {
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best < 0 || len(q.Prefix) > len(c.Queues[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Queue{}, "", false
+	}
+	q := c.Queues[best]
+	return q, path[len(q.Prefix):], true
+}
--- /dev/null
+++ b/structs/workload/errors.go
@@ -0,0 +1,35 @@
+package workload
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors of calls about jobs.
+var (
+	// ErrNoConfig says that the process has no configuration yet.
+	ErrNoConfig = errors.New("no configuration yet")
+	// ErrNoQueue says that the configuration has no such queue.
+	ErrNoQueue = errors.New("no such queue")
+	// ErrNoJob says that the store was read and has no such job.
+	ErrNoJob = errors.New("no such job")
+	// ErrUndecided says that a write may or may not take effect; the caller
+	// has to ask again with the same identifier.
+	ErrUndecided = errors.New("outcome not known")
+)
+
+// UnavailableError says that the call had no effect and when to come back.
+type UnavailableError struct {
+	RetryAfter time.Duration
+	Cause      error
+}
+
+func (e *UnavailableError) Error() string { return fmt.Sprintf("unavailable: %v", e.Cause) }
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// InvalidError says what is wrong with a request.
+type InvalidError struct{ Detail string }
+
+func (e *InvalidError) Error() string { return "invalid: " + e.Detail }
--- /dev/null
+++ b/wire/dispatch/link.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// dialTimeout bounds a new connection; data centres of one region are
+	// a few milliseconds apart.
+	dialTimeout = 600 * time.Millisecond
+	// keepAlive finds a peer that is gone while nothing is sent.
+	keepAlive = time.Second
+)
+
+// ErrTimeout says that a call got no answer in its time; it may have been
+// carried out.
+var ErrTimeout = errors.New("no answer in time")
+
+// ErrNotSent says that there was no connection to send the call on.
+var ErrNotSent = errors.New("not sent")
+
+// Link is a connection to one peer that is made anew when it breaks. A call
+// without an answer in its time closes it: connections may fall silent for
+// good while new ones work.
+type Link struct {
+	address string
+
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewLink returns a link to address; it dials with the first call.
+func NewLink(address string) *Link { return &Link{address: address} }
+
+// Address is the peer's.
+func (l *Link) Address() string { return l.address }
+
+// Close closes the connection; a later call dials anew.
+func (l *Link) Close() { l.drop(nil) }
+
+// Call makes one call and waits up to timeout for its answer.
+func (l *Link) Call(ctx context.Context, method string, args, reply any, timeout time.Duration) error {
+	client, err := l.connect(ctx)
+	if err != nil {
+		return &notSentError{peer: l.address, cause: err}
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil && !isServerError(call.Error) {
+			l.drop(client)
+		}
+		return eris.Wrapf(call.Error, "%s at %s", method, l.address)
+	case <-timer.C:
+		l.drop(client)
+		return eris.Wrapf(ErrTimeout, "%s at %s", method, l.address)
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "%s at %s", method, l.address)
+	}
+}
+
+func isServerError(err error) bool {
+	var server rpc.ServerError
+	return errors.As(err, &server)
+}
+
+func (l *Link) connect(ctx context.Context) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		return l.client, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		return nil, err
+	}
+	l.client = rpc.NewClient(conn)
+	return l.client, nil
+}
+
+// drop closes client if it is still the link's; nil closes any.
+func (l *Link) drop(client *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == nil || client != nil && l.client != client {
+		return
+	}
+	_ = l.client.Close() // it is broken or not wanted any more
+	l.client = nil
+}
+
+// Serve accepts connections for server until l is closed.
+func Serve(l net.Listener, server *rpc.Server) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// notSentError is an ErrNotSent with its cause.
+type notSentError struct {
+	peer  string
+	cause error
+}
+
+func (e *notSentError) Error() string { return "dial " + e.peer + ": " + e.cause.Error() }
+
+func (e *notSentError) Unwrap() []error { return []error{ErrNotSent, e.cause} }
--- /dev/null
+++ b/wire/dispatch/messages.go
@@ -0,0 +1,190 @@
+// Package dispatch holds the messages between the scheduler, the agents and
+// the other entries about jobs of steps, and the connections that carry them.
+package dispatch
+
+import (
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// Claim shows which term of which scheduler speaks.
+type Claim struct {
+	// Epoch of the scheduler's term; agents obey the highest that they saw.
+	Epoch uint64
+	// Process is the agent process that the scheduler last heard from.
+	Process uint64
+	// Echo is that process's clock in its latest answer. The agent counts
+	// the grant from there, so that a call that was delayed on its way
+	// extends nothing.
+	Echo time.Duration
+	// Grant is how long after Echo the worker's lease may last.
+	Grant time.Duration
+}
+
+// StartOrder asks the agent for one run that the store has on record.
+type StartOrder struct {
+	Run        workload.RunID
+	Need       workload.Resources
+	Fills      bool
+	TailTarget time.Duration
+	Checkpoint string
+	Ticket     string
+}
+
+// OrderArgs carries orders for one life of a worker.
+type OrderArgs struct {
+	Claim
+	Worker workload.WorkerID
+	// Seen: ends of this life up to Seen are stored.
+	Seen uint64
+	// Payloads holds what the started tasks are handed, by job.
+	Payloads map[workload.JobID]string
+	Starts   []StartOrder
+	Stops    []workload.RunID
+}
+
+// OrderReply says whether the orders were taken. What becomes of each is told
+// by Watch.
+type OrderReply struct {
+	Refused Refusal
+}
+
+// Refusal says why an agent takes no orders.
+type Refusal string
+
+// The refusals of an agent.
+const (
+	// RefusedEpoch: a newer scheduler has spoken.
+	RefusedEpoch Refusal = "newer scheduler"
+	// RefusedProcess: the orders are meant for another process of the agent.
+	RefusedProcess Refusal = "another process"
+	// RefusedWorker: the worker has begun another life.
+	RefusedWorker Refusal = "another life of the worker"
+	// RefusedGrant: the grant of the orders has run out.
+	RefusedGrant Refusal = "grant has run out"
+)
+
+// WatchArgs asks for what has changed.
+type WatchArgs struct {
+	Claim
+	// Since is the version of the last answer of that process; 0 asks for
+	// everything.
+	Since uint64
+	// Worker and Seen: ends of this life up to Seen are stored.
+	Worker workload.WorkerID
+	Seen   uint64
+	// Wait bounds how long the answer may wait for a change.
+	Wait time.Duration
+}
+
+// WatchReply is what has changed at an agent.
+type WatchReply struct {
+	Refused Refusal
+	Process uint64
+	// At is the agent's clock when the answer left.
+	At      time.Duration
+	Version uint64
+	// Worker is the living worker; its ID is empty while none is known.
+	Worker workload.Worker
+	// Listed says that the worker's own lists were read at least once.
+	Listed bool
+	// Former lists earlier lives that are known to have ended.
+	Former []workload.WorkerID
+	Runs   []RunReport
+	Ends   []workload.End
+}
+
+// RunState is what an agent knows of a run.
+type RunState uint8
+
+// The states of a run at its agent.
+const (
+	// RunPending: ordered, and the worker has not confirmed it.
+	RunPending RunState = iota
+	// RunPresent: on the worker.
+	RunPresent
+	// RunVoid: it is not on the worker and never will be.
+	RunVoid
+)
+
+// RunReport is what an agent says of a run.
+type RunReport struct {
+	Run        workload.RunID
+	State      RunState
+	Checkpoint string
+	// Reason says why a run is void.
+	Reason string
+}
+
+// NoteArgs tells the scheduler of a job that was stored or cancelled.
+type NoteArgs struct {
+	Job       *workload.Job
+	Cancelled workload.JobID
+}
+
+// NoteReply is empty.
+type NoteReply struct{}
+
+// StateArgs asks for a job's state.
+type StateArgs struct{ ID workload.JobID }
+
+// StateReply is what the scheduler knows. Leading is false if it does not
+// lead; Known is false if it has no such job, which does not prove that there
+// is none.
+type StateReply struct {
+	Leading bool
+	Known   bool
+	State   workload.State
+}
+
+// WaitingArgs asks for the jobs of a queue of which nothing has started.
+type WaitingArgs struct{ Queue string }
+
+// WaitingReply is the number of them.
+type WaitingReply struct {
+	Leading bool
+	Waiting int
+}
+
+// StoreArgs asks an entry to store a job or a cancellation for another entry
+// that the store turns away.
+type StoreArgs struct {
+	Job       *workload.Job
+	Cancelled workload.JobID
+}
+
+// StoreReply says what became of it.
+type StoreReply struct {
+	Outcome Outcome
+}
+
+// Outcome of a write that another entry made.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// OutcomeNone: not written, and it never will be.
+	OutcomeNone Outcome = iota
+	// OutcomeStored: written.
+	OutcomeStored
+	// OutcomeUndecided: perhaps written, perhaps later.
+	OutcomeUndecided
+	// OutcomeNoJob: there is no such job to cancel.
+	OutcomeNoJob
+)
+
+// String gives the outcome for logs.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNone:
+		return "none"
+	case OutcomeStored:
+		return "stored"
+	case OutcomeUndecided:
+		return "undecided"
+	case OutcomeNoJob:
+		return "no job"
+	}
+	return "unknown"
+}
