Serving tasks are packed apart from filling ones

Cause: every worker had serving tasks, and filling tasks beside them were slowed for their tails; a grade report's tasks took 5.8 s instead of 2.2 s.

--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -39,10 +39,15 @@
 // Weights of the score. Room is a share of the capacity, 0 to 1; the others
 // outweigh it in the order given.
 const (
-	suspectPenalty = 8.0
-	rackPenalty    = 4.0
-	avoidPenalty   = 2.0
-	servingPenalty = 0.25
+	suspectPenalty = 32.0
+	rackPenalty    = 16.0
+	avoidPenalty   = 8.0
+	// apartBonus keeps serving and filling work apart: filling work disturbs
+	// the tail of serving tasks beside it, and has to be slowed for it.
+	apartBonus = 4.0
+	// fillPenalty keeps serving tasks off a worker in proportion to the
+	// filling work there.
+	fillPenalty = 2.0
 )
 
 // Choose returns the index of the best worker, or -1 if the task fits on
@@ -82,12 +87,7 @@
 }
 
 func score(r Request, i int, w *Candidate) float64 {
-	var s float64
-	if r.Step.Fills {
-		s = share(unused(w)-w.FillLoad, w.Capacity.CPU) - servingPenalty*float64(min(w.Serving, 3))
-	} else {
-		s = share(w.Free.CPU, w.Capacity.CPU) + share(w.Free.Memory, w.Capacity.Memory)/4
-	}
+	s := room(r.Step, w)
 	if w.Suspect {
 		s -= suspectPenalty
 	}
@@ -103,6 +103,27 @@
 	return s
 }
 
+// room scores a worker by what is there already. Serving tasks are packed
+// onto few workers, other counted tasks go beside them, and filling tasks to
+// the workers without serving ones, the emptiest first.
+func room(s *workload.Step, w *Candidate) float64 {
+	free := share(w.Free.CPU, w.Capacity.CPU) + share(w.Free.Memory, w.Capacity.Memory)/4
+	switch {
+	case s.Fills:
+		free = share(unused(w)-w.FillLoad, w.Capacity.CPU)
+		if w.Serving == 0 {
+			return apartBonus + free
+		}
+		return free
+	case s.TailTarget > 0:
+		free = -free - fillPenalty*share(w.FillLoad, w.Capacity.CPU)
+	}
+	if w.Serving > 0 {
+		return apartBonus + free
+	}
+	return free
+}
+
 func share(part, whole int) float64 {
 	if whole <= 0 {
 		return 0
