Calls to a peer that is gone share one dial and keep their own time

Cause: a link dialled under its lock, so the calls to a scheduler whose machine was replaced queued up behind one another's dials of 0.6 s; the entries' watch of the lease asks over the same link and never came to a takeover. Ruled out: the store (reads of the lease went on every 0.4 s).

--- a/wire/dispatch/link.go
+++ b/wire/dispatch/link.go
@@ -17,6 +17,8 @@
 	dialTimeout = 600 * time.Millisecond
 	// keepAlive finds a peer that is gone while nothing is sent.
 	keepAlive = time.Second
+	// redialPause is how long a failed dial stands for the next calls, too.
+	redialPause = 60 * time.Millisecond
 )
 
 // ErrTimeout says that a call got no answer in its time; it may have been
@@ -27,17 +29,34 @@
 var ErrNotSent = errors.New("not sent")
 
 // Link is a connection to one peer that is made anew when it breaks. A call
-// without an answer in its time closes it: connections may fall silent for
+// without an answer in its time closes it: connections may go silent for
 // good while new ones work.
 type Link struct {
 	address string
+	dial    func(ctx context.Context) (net.Conn, error)
 
-	mu     sync.Mutex
+	mu      sync.Mutex
+	client  *rpc.Client
+	attempt *attempt
+}
+
+// attempt is one dial, which all calls of that moment share. A call waits for
+// it no longer than for its own answer: with a peer that is gone, calls would
+// otherwise queue up behind one another's dials.
+type attempt struct {
+	done   chan struct{}
 	client *rpc.Client
+	err    error
+	ended  time.Time
 }
 
 // NewLink returns a link to address; it dials with the first call.
-func NewLink(address string) *Link { return &Link{address: address} }
+func NewLink(address string) *Link {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &Link{address: address, dial: func(ctx context.Context) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}}
+}
 
 // Address is the peer's.
 func (l *Link) Address() string { return l.address }
@@ -47,12 +66,12 @@
 
 // Call makes one call and waits up to timeout for its answer.
 func (l *Link) Call(ctx context.Context, method string, args, reply any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	client, err := l.connect(ctx)
 	if err != nil {
 		return &notSentError{peer: l.address, cause: err}
 	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -60,10 +79,11 @@
 			l.drop(client)
 		}
 		return eris.Wrapf(call.Error, "%s at %s", method, l.address)
-	case <-timer.C:
-		l.drop(client)
-		return eris.Wrapf(ErrTimeout, "%s at %s", method, l.address)
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.drop(client)
+			return eris.Wrapf(ErrTimeout, "%s at %s", method, l.address)
+		}
 		return eris.Wrapf(ctx.Err(), "%s at %s", method, l.address)
 	}
 }
@@ -75,17 +95,47 @@
 
 func (l *Link) connect(ctx context.Context) (*rpc.Client, error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.client != nil {
+		defer l.mu.Unlock()
 		return l.client, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp", l.address)
+	a := l.attempt
+	if a == nil || a.over() && time.Since(a.ended) > redialPause {
+		a = &attempt{done: make(chan struct{})}
+		l.attempt = a
+		go l.run(a)
+	}
+	l.mu.Unlock()
+	select {
+	case <-a.done:
+		return a.client, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (a *attempt) over() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Link) run(a *attempt) {
+	conn, err := l.dial(context.Background())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer close(a.done)
+	a.ended = time.Now()
 	if err != nil {
-		return nil, err
+		a.err = err
+		return
 	}
-	l.client = rpc.NewClient(conn)
-	return l.client, nil
+	a.client = rpc.NewClient(conn)
+	l.client = a.client
+	l.attempt = nil
 }
 
 // drop closes client if it is still the link's; nil closes any.
