Filling work is paced by the learnt pressure of image pairs

Cause: all filling work on a worker was slowed whenever a serving task's tail came near its target, though most pairs of images don't press on each other, and the progress in a listing was taken for the pace, so that each pace was told again twice a second.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -167,6 +167,7 @@
 			r.applyAbsent(l, x, sent)
 		}
 	}
+	r.takeSample(l)
 	if !l.listed {
 		l.listed = true
 		l.changed = r.touch(true)
@@ -193,7 +194,7 @@
 	if !ok {
 		// A run of an earlier process of this agent: it takes room that is
 		// not known until the scheduler repeats its order.
-		x = &run{id: s.Run, wantedPace: s.Pace}
+		x = &run{id: s.Run}
 		l.runs[s.Run] = x
 		r.deps.Log.Info().Stringer("run", s.Run).Msg("run found on the worker")
 	}
@@ -206,7 +207,7 @@
 		x.checkpoint = s.Checkpoint
 		x.changed = r.touch(false)
 	}
-	x.pace = s.Pace
+	x.progress = s.Progress
 	x.rough = s.Rough
 }
 
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -78,7 +78,7 @@
 			return
 		}
 	}
-	x := &run{id: o.Run, payload: payload, checkpoint: o.Checkpoint, ticket: o.Ticket, wantedPace: 100, pace: 100}
+	x := &run{id: o.Run, payload: payload, checkpoint: o.Checkpoint, ticket: o.Ticket}
 	x.size(o)
 	l.runs[o.Run] = x
 	if why := r.guard(l, x); why != "" {
@@ -95,6 +95,7 @@
 func (x *run) size(o dispatch.StartOrder) {
 	x.need = o.Need
 	x.fills = o.Fills
+	x.image = o.Image
 	x.tailTarget = o.TailTarget
 	x.sized = true
 }
@@ -232,7 +233,7 @@
 				return
 			}
 		}
-		x = &run{id: id, sized: true, wantedPace: 100}
+		x = &run{id: id, sized: true}
 		l.runs[id] = x
 	}
 	if x.stopping || x.state == dispatch.RunVoid {
--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -2,52 +2,26 @@
 
 import (
 	"context"
+	"math"
+	"sort"
 	"time"
 
+	"persimmonrock.example/decide/pressure"
 	"persimmonrock.example/wire/dispatch"
 )
 
 const (
-	// paceInterval is the time that the rough figures cover.
-	paceInterval = 500 * time.Millisecond
-	// slowDown is the share of its target at which a serving task's tail
-	// slows what fills beside it. The figures are rough, and a tail over its
-	// target for seconds is what users see.
-	slowDown = 0.88
-	// speedUp is the share below which filling work is let go faster.
-	speedUp = 0.70
-	// cut and raise change the pace: quickly down, slowly up.
-	cut   = 0.5
-	raise = 12
-	// leastPace is the pace below which filling work stands still.
-	leastPace = 8
-	fullPace  = 100
+	// paceInterval is the time between two looks at the tails, whose figures
+	// cover half a second.
+	paceInterval = 250 * time.Millisecond
+	fullPace     = 100
+	// paceRepeat is the time after which a pace is told again.
+	paceRepeat = 2 * time.Second
+	// atWork is the progress of a lasting task that has started up.
+	atWork = 100
 )
 
-// paceState is the pace of all filling work on a worker.
-type paceState struct {
-	// pace is 0 to 100.
-	pace int
-	set  bool
-}
-
-// next is the pace after the worst share of its target that a serving task's
-// tail has reached.
-func next(pace int, worst float64) int {
-	switch {
-	case worst > 1:
-		pace = int(float64(pace) * cut * cut)
-	case worst > slowDown:
-		pace = int(float64(pace) * cut)
-	case worst < speedUp:
-		pace = min(fullPace, pace+raise)
-	}
-	if worst > slowDown && pace < leastPace {
-		return 0
-	}
-	return pace
-}
-
+// paceLoop paces the filling work beside serving tasks.
 func (r *Runner) paceLoop(ctx context.Context) {
 	ticker := time.NewTicker(paceInterval)
 	defer ticker.Stop()
@@ -65,44 +39,169 @@
 		}
 		r.mu.Unlock()
 		for _, o := range orders {
-			r.pace(ctx, l, o)
+			go r.pace(ctx, l, o)
 		}
 	}
 }
 
 // planPace returns the orders that bring all filling work to its pace.
 func (r *Runner) planPace(l *life) []paced {
-	if !l.pace.set {
-		l.pace = paceState{pace: fullPace, set: true}
+	serving := r.serving(l)
+	filling := l.filling()
+	if len(filling) == 0 {
+		return nil
+	}
+	next := pressure.Pace(serving, filling, r.weight)
+	if l.paces == nil {
+		l.paces = map[string]float64{}
+	}
+	for i, f := range filling {
+		if math.Abs(next[i]-f.Pace) > 0.1 || next[i] == 0 && f.Pace > 0 {
+			r.deps.Log.Info().Str("image", f.Image).Float64("pace", next[i]).Float64("before", f.Pace).Float64("used", f.Used).
+				Float64("tail_share", worstShare(serving)).Msg("pace")
+		}
+		l.paces[f.Image] = next[i]
 	}
+	return r.paceOrders(l)
+}
+
+func (r *Runner) paceOrders(l *life) []paced {
+	var orders []paced
+	for _, x := range l.runs {
+		if !x.fills || x.state != dispatch.RunPresent || x.stopping {
+			continue
+		}
+		pace := int(math.Round(fullPace * l.paceOf(x.image)))
+		if r.repace(x, pace) {
+			x.pace, x.pacedAt = pace, r.deps.Now()
+			orders = append(orders, paced{run: x.id, pace: pace})
+		}
+	}
+	return orders
+}
+
+// paceOf is the pace of an image; what was never paced works at full speed.
+func (l *life) paceOf(image string) float64 {
+	if p, ok := l.paces[image]; ok {
+		return p
+	}
+	return 1
+}
+
+func worstShare(serving []pressure.Serving) float64 {
 	worst := 0.0
-	filling := 0
+	for _, s := range serving {
+		worst = max(worst, s.Tail/s.Target)
+	}
+	return worst
+}
+
+// serving lists the serving tasks at work.
+func (r *Runner) serving(l *life) []pressure.Serving {
+	var list []pressure.Serving
+	now := r.deps.Now()
 	for _, x := range l.runs {
-		if x.state != dispatch.RunPresent {
+		if x.tailTarget <= 0 || x.state != dispatch.RunPresent || x.progress < atWork || x.rough <= 0 {
 			continue
 		}
-		if x.fills {
-			filling++
+		target := float64(x.tailTarget.Milliseconds())
+		switch {
+		case x.rough <= target:
+			x.overSince = 0
+		case x.overSince == 0:
+			x.overSince = now
 		}
-		if x.tailTarget > 0 {
-			worst = max(worst, x.rough/float64(x.tailTarget.Milliseconds()))
+		s := pressure.Serving{Image: x.image, Tail: x.rough, Target: target, Base: r.base[x.image]}
+		if x.overSince > 0 {
+			s.Over = now - x.overSince
 		}
+		list = append(list, s)
 	}
-	if filling == 0 {
-		// What begins to fill later starts at the pace that was right when
-		// the last one ended.
-		return nil
+	return list
+}
+
+// filling sums the filling work by image.
+func (l *life) filling() []pressure.Filling {
+	sums := map[string]*pressure.Filling{}
+	whole := float64(max(1, l.worker.Capacity.CPU))
+	for _, x := range l.runs {
+		if !x.fills || x.state != dispatch.RunPresent {
+			continue
+		}
+		f := sums[x.image]
+		if f == nil {
+			f = &pressure.Filling{Image: x.image, Pace: l.paceOf(x.image)}
+			sums[x.image] = f
+		}
+		f.Used += x.rough / whole
+		f.Wanted += float64(x.need.CPU) / whole
 	}
-	before := l.pace.pace
-	l.pace.pace = next(before, worst)
-	if before != l.pace.pace {
-		r.deps.Log.Info().Int("pace", l.pace.pace).Int("before", before).Float64("tail_share", worst).Int("filling", filling).Msg("pace changed")
+	list := make([]pressure.Filling, 0, len(sums))
+	for _, f := range sums {
+		list = append(list, *f)
 	}
-	var orders []paced
+	sort.Slice(list, func(i, k int) bool { return list[i].Image < list[k].Image })
+	return list
+}
+
+func (r *Runner) weight(p pressure.Pair) pressure.Weight {
+	if w, ok := r.weights[p]; ok {
+		return w
+	}
+	var m pressure.Model
+	return m.Weight(p)
+}
+
+// repace reports whether a run has to be told its pace. It is told again now
+// and then: an order without an answer may be carried out seconds later,
+// after newer ones, and nothing shows the pace that is in force.
+func (r *Runner) repace(x *run, pace int) bool {
+	if x.pacedAt == 0 {
+		return pace != fullPace
+	}
+	return x.pace != pace || r.deps.Now()-x.pacedAt > paceRepeat
+}
+
+// takeSample records what ran together, for the scheduler to learn from.
+func (r *Runner) takeSample(l *life) {
+	now := r.deps.Now()
+	if r.sampleEvery <= 0 || now-r.sampledAt < r.sampleEvery {
+		return
+	}
+	s := &dispatch.TailSample{}
+	seen := map[string]int{}
 	for _, x := range l.runs {
-		if x.fills && x.state == dispatch.RunPresent && !x.stopping && x.pace != l.pace.pace {
-			orders = append(orders, paced{run: x.id, pace: l.pace.pace})
+		if x.tailTarget <= 0 || x.state != dispatch.RunPresent || x.progress < atWork || x.rough <= 0 {
+			continue
 		}
+		key := string(x.id.Task.Job)
+		if i, ok := seen[key]; ok {
+			s.Serving[i].Tail = max(s.Serving[i].Tail, x.rough)
+			continue
+		}
+		seen[key] = len(s.Serving)
+		s.Serving = append(s.Serving, dispatch.ServingSample{Job: x.id.Task.Job, Image: x.image, Tail: x.rough})
+	}
+	if len(s.Serving) == 0 {
+		return
+	}
+	for _, f := range l.filling() {
+		s.Filling = append(s.Filling, dispatch.FillingSample{Image: f.Image, Used: f.Used})
+	}
+	r.sample, r.sampledAt = s, now
+	r.touch(true)
+}
+
+// learn takes what the scheduler has learnt.
+func (r *Runner) learn(args *dispatch.WatchArgs) {
+	r.sampleEvery = args.SampleEvery
+	if len(args.Pressure) > 0 {
+		r.weights = map[pressure.Pair]pressure.Weight{}
+		for _, p := range args.Pressure {
+			r.weights[pressure.Pair{Serving: p.Serving, Filling: p.Filling}] = pressure.Weight{Value: p.Value, Known: p.Known}
+		}
+	}
+	if len(args.Base) > 0 {
+		r.base = args.Base
 	}
-	return orders
 }
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/decide/pressure"
 	"persimmonrock.example/infra/workerctl"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
@@ -63,6 +64,15 @@
 	refusedReports int
 
 	counters Counters
+
+	// sampleEvery is the time between two samples; sample is the latest that
+	// was not sent, sampledAt its time.
+	sampleEvery time.Duration
+	sample      *dispatch.TailSample
+	sampledAt   time.Duration
+	// weights and base are what the scheduler has learnt.
+	weights map[pressure.Pair]pressure.Weight
+	base    map[string]float64
 }
 
 // Counters are an agent's figures; all only go up.
@@ -88,7 +98,8 @@
 	seen uint64
 	ends []endEntry
 	runs map[workload.RunID]*run
-	pace paceState
+	// paces is the pace of each image of filling work, 0 to 1.
+	paces map[string]float64
 }
 
 type endEntry struct {
@@ -112,6 +123,7 @@
 	sized      bool
 	need       workload.Resources
 	fills      bool
+	image      string
 	tailTarget time.Duration
 	payload    string
 	checkpoint string
@@ -123,9 +135,15 @@
 	stopped     bool
 	reason      string
 	changed     uint64
-	pace        int
-	wantedPace  int
+	progress    int
 	rough       float64
+	// pace is the pace that the worker was last told, at pacedAt; a run that
+	// was never told works at full pace.
+	pace    int
+	pacedAt time.Duration
+	// overSince is when the tail of a serving task went over its target; 0
+	// while it is not.
+	overSince time.Duration
 }
 
 // maxFormer bounds the list of lives that have ended.
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -27,6 +27,7 @@
 		return reply
 	}
 	r.acknowledge(args)
+	r.learn(&args)
 	for args.Since != 0 && r.urgent <= args.Since {
 		wake := r.wake
 		r.mu.Unlock()
@@ -92,6 +93,7 @@
 	reply.Worker = l.worker
 	reply.Worker.Draining = l.worker.Draining || l.left
 	reply.Listed = l.listed
+	reply.Sample, r.sample = r.sample, nil
 	for _, x := range l.runs {
 		if x.changed > since || since == 0 {
 			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason})
@@ -162,7 +164,7 @@
 	}
 }
 
-// status is used by the pacing loop.
+// paced is the pace of one run.
 type paced struct {
 	run  workload.RunID
 	pace int
--- /dev/null
+++ b/entry/scheduler/learner.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/decide/pressure"
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// sampleEvery is the time between two samples of an agent; with many
+	// agents it grows, so that the scheduler takes at most samplesPerSecond.
+	sampleEvery      = 500 * time.Millisecond
+	samplesPerSecond = 200
+	// sameTime is how far apart two samples may be to show the same load of
+	// a job, which changes within seconds.
+	sameTime = 800 * time.Millisecond
+	// tellEvery is the least time between two tellings of what was learnt.
+	tellEvery = time.Second
+)
+
+// learner learns which images press on which. The tasks of one job carry the
+// same load wherever they run, so the least disturbed of them shows what the
+// others' tails would be alone.
+type learner struct {
+	model pressure.Model
+	// base is the lowest tail seen of each serving image.
+	base map[string]float64
+	// latest is the last sample of each worker.
+	latest map[workload.WorkerID]timedSample
+}
+
+type timedSample struct {
+	at     time.Duration
+	sample *dispatch.TailSample
+	used   map[string]float64
+}
+
+// take learns from a worker's sample.
+func (l *learner) take(w *worker, s *dispatch.TailSample, now time.Duration) {
+	if l.latest == nil {
+		l.latest = map[workload.WorkerID]timedSample{}
+		l.base = map[string]float64{}
+	}
+	used := map[string]float64{}
+	for _, f := range s.Filling {
+		if f.Used > 0 {
+			used[f.Image] = f.Used
+		}
+	}
+	l.latest[w.id] = timedSample{at: now, sample: s, used: used}
+	for _, v := range s.Serving {
+		if b := l.base[v.Image]; b == 0 || v.Tail < b {
+			l.base[v.Image] = v.Tail
+		}
+		alone, ok := l.alone(v, w.id, now)
+		if ok && len(used) > 0 {
+			l.model.Observe(pressure.Sample{Serving: v.Image, Extra: alone - l.base[v.Image]/v.Tail, Used: used})
+		}
+	}
+}
+
+// alone returns base over tail of the job's least disturbed tasks on other
+// workers at this time, freed of what is known to press on them.
+func (l *learner) alone(v dispatch.ServingSample, except workload.WorkerID, now time.Duration) (float64, bool) {
+	best, found := 0.0, false
+	least := 0.0
+	for id, o := range l.latest {
+		if id == except || now-o.at > sameTime {
+			continue
+		}
+		for _, other := range o.sample.Serving {
+			if other.Job != v.Job {
+				continue
+			}
+			pressed := l.pressed(v.Image, o.used)
+			if !found || pressed < least {
+				best, least, found = l.base[v.Image]/other.Tail+pressed, pressed, true
+			}
+		}
+	}
+	return best, found
+}
+
+// pressed is the load that used puts on a serving image.
+func (l *learner) pressed(serving string, used map[string]float64) float64 {
+	sum := 0.0
+	for image, u := range used {
+		sum += u * l.model.Weight(pressure.Pair{Serving: serving, Filling: image}).Value
+	}
+	return sum
+}
+
+// every is the time between two samples of one of n agents.
+func (l *learner) every(n int) time.Duration {
+	return max(sampleEvery, time.Duration(n)*time.Second/samplesPerSecond)
+}
+
+// tellPressure adds what was learnt of the serving images on the worker.
+func (l *agentLink) tellPressure(args *dispatch.WatchArgs) {
+	t := l.term
+	args.SampleEvery = t.learner.every(len(t.agents))
+	version := t.learner.model.Version()
+	if version == l.told || t.deps.Now()-l.toldAt < tellEvery {
+		return
+	}
+	l.told, l.toldAt = version, t.deps.Now()
+	args.Base = map[string]float64{}
+	for image := range l.worker.servingImages() {
+		args.Base[image] = t.learner.base[image]
+		for filling, w := range t.learner.model.Weights(image) {
+			args.Pressure = append(args.Pressure, dispatch.PairWeight{Serving: image, Filling: filling, Value: w.Value, Known: w.Known})
+		}
+	}
+}
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -42,6 +42,10 @@
 	starts map[workload.RunID]dispatch.StartOrder
 	stops  map[workload.RunID]bool
 	silent bool
+	// told is the version of what the agent was told of pressure, toldAt
+	// when.
+	told   uint64
+	toldAt time.Duration
 }
 
 func (t *Term) newLink(node, address string) *agentLink {
@@ -73,7 +77,7 @@
 func (l *agentLink) addStart(j *job, id workload.TaskID, s *step, k *task) {
 	r := workload.RunID{Task: id, Run: k.run}
 	l.starts[r] = dispatch.StartOrder{
-		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint,
+		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, Image: s.spec.Image, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint,
 	}
 	signal(l.outbox)
 }
@@ -135,6 +139,7 @@
 	if l.worker != nil {
 		args.Worker = l.worker.id
 		args.Seen = l.worker.stored
+		l.tellPressure(&args)
 	}
 	return args
 }
@@ -200,6 +205,9 @@
 	}
 	wake := l.takeWorker(reply)
 	w := l.worker
+	if reply.Sample != nil {
+		t.learner.take(w, reply.Sample, t.deps.Now())
+	}
 	for _, e := range reply.Ends {
 		if e.Number > w.processed {
 			w.processed = e.Number
@@ -218,6 +226,7 @@
 func (l *agentLink) newProcess(process uint64) {
 	l.process = process
 	l.since = 0
+	l.told = 0
 	l.repeatOrders()
 }
 
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -72,6 +72,7 @@
 	dirty   []*job
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
+	learner learner
 	// early holds cancellations whose job is not known yet.
 	early map[workload.JobID]bool
 	// validUntil is the end of the term's own validity.
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -40,6 +40,7 @@
 	counted workload.Resources
 	fill    int
 	serves  bool
+	image   string
 }
 
 func newWorker(id workload.WorkerID, agent string) *worker {
@@ -51,7 +52,7 @@
 	if _, ok := w.runs[r]; ok {
 		return
 	}
-	v := reservation{counted: s.Reserved(), serves: s.TailTarget > 0}
+	v := reservation{counted: s.Reserved(), serves: s.TailTarget > 0, image: s.Image}
 	if s.Fills {
 		v.fill = s.Need.CPU
 	}
@@ -63,6 +64,17 @@
 	}
 }
 
+// servingImages are the images of the serving tasks there.
+func (w *worker) servingImages() map[string]bool {
+	images := map[string]bool{}
+	for _, v := range w.runs {
+		if v.serves {
+			images[v.image] = true
+		}
+	}
+	return images
+}
+
 func (w *worker) reservedOf(r workload.RunID) workload.Resources { return w.runs[r].counted }
 
 // remove frees the room of a run.
--- a/infra/workerctl/workerctl.go
+++ b/infra/workerctl/workerctl.go
@@ -44,8 +44,9 @@
 type RunStatus struct {
 	Run        workload.RunID
 	Checkpoint string
-	// Pace is the share of its speed at which it may work, 0 to 100.
-	Pace int
+	// Progress is the part of its work that is done, in percent; a lasting
+	// task is at work at 100.
+	Progress int
 	// Rough is the tail latency in milliseconds of a task that serves, else
 	// the CPU in use, over the last half second.
 	Rough float64
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -24,9 +24,11 @@
 
 // StartOrder asks the agent for one run that the store has on record.
 type StartOrder struct {
-	Run        workload.RunID
-	Need       workload.Resources
-	Fills      bool
+	Run   workload.RunID
+	Need  workload.Resources
+	Fills bool
+	// Image names the program; tasks of one image behave alike.
+	Image      string
 	TailTarget time.Duration
 	Checkpoint string
 	Ticket     string
@@ -76,6 +78,41 @@
 	Seen   uint64
 	// Wait bounds how long the answer may wait for a change.
 	Wait time.Duration
+	// SampleEvery is the time between two samples of tails; 0 asks for none.
+	SampleEvery time.Duration
+	// Pressure is what the scheduler has learnt of the images on the worker,
+	// if it has changed.
+	Pressure []PairWeight
+	// Base is the lowest tail seen of each serving image, in milliseconds.
+	Base map[string]float64
+}
+
+// PairWeight is how much an image of filling work presses on a serving one.
+type PairWeight struct {
+	Serving string
+	Filling string
+	Value   float64
+	Known   bool
+}
+
+// TailSample is what ran together on a worker over about half a second.
+type TailSample struct {
+	Serving []ServingSample
+	Filling []FillingSample
+}
+
+// ServingSample is the tail of the tasks of one job.
+type ServingSample struct {
+	Job   workload.JobID
+	Image string
+	// Tail is in milliseconds.
+	Tail float64
+}
+
+// FillingSample is the share of the worker that an image used.
+type FillingSample struct {
+	Image string
+	Used  float64
 }
 
 // WatchReply is what has changed at an agent.
@@ -93,6 +130,8 @@
 	Former []workload.WorkerID
 	Runs   []RunReport
 	Ends   []workload.End
+	// Sample is set once in each WatchArgs.SampleEvery.
+	Sample *TailSample
 }
 
 // RunState is what an agent knows of a run.
