Entries reach the store through one another; a term ends at a newer epoch

Cause: where the store turned one machine away its entry refused every job (the scheduler's own entry had nobody to ask), a scheduler there stood still until it was overtaken after 2.5 s, and afterwards called the agents in vain until its own transaction came through.

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -11,6 +11,7 @@
 	"crypto/rand"
 
 	"persimmonrock.example/entry/intake"
+	"persimmonrock.example/entry/relay"
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/platform/front"
 	"persimmonrock.example/platform/operator"
@@ -46,7 +47,7 @@
 func (p *program) runEntry(ctx context.Context) error {
 	ctx, cancel := p.stopSignal(ctx)
 	defer cancel()
-	rows := store.New(p.settings.StoreAddress)
+	rows := relay.New(store.New(p.settings.StoreAddress), p.peerAddress(), p.log)
 	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig}, p.log, sinceBoot)
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(),
@@ -57,7 +58,7 @@
 	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
 		return err
 	}
-	if err := server.RegisterName("Entry", service.RPC()); err != nil {
+	if err := server.RegisterName("Relay", rows.Service()); err != nil {
 		return err
 	}
 	if err := p.servePeers(server); err != nil {
@@ -72,6 +73,7 @@
 	}
 	p.log.Info().Str("clients", p.settings.ClientListen).Str("peers", p.peerAddress()).Msg("entry started")
 	// The configuration is followed while open calls are still answered.
+	go rows.Run(context.WithoutCancel(ctx), p.settings.Node)
 	go config.Run(context.WithoutCancel(ctx))
 	elector.Run(ctx)
 	return p.stopEntry(service, clients)
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -29,8 +29,6 @@
 	retryAfter = time.Second
 	// peerTimeout bounds a question to the scheduler.
 	peerTimeout = 300 * time.Millisecond
-	// relayTimeout bounds a write that another entry makes.
-	relayTimeout = 900 * time.Millisecond
 	// noteTimeout bounds the word to the scheduler of a stored job; the
 	// store's feed finds those that were lost.
 	noteTimeout = 500 * time.Millisecond
@@ -41,7 +39,7 @@
 
 // Counters are an entry's figures.
 type Counters struct {
-	Accepted, Repeated, Refused, Undecided, Relayed, States, StateReads, Cancels atomic.Int64
+	Accepted, Repeated, Refused, Undecided, States, StateReads, Cancels atomic.Int64
 }
 
 // Service answers the clients' calls.
@@ -95,17 +93,17 @@
 		return eris.Wrap(err, "encode a job")
 	}
 	key := scheduler.JobKey(j.ID)
-	outcome := s.write(ctx, rowstore.Txn{
+	result := s.write(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: value}},
-	}, dispatch.StoreArgs{Job: &j})
-	s.log.Info().Str("job", string(j.ID)).Str("queue", q.Name).Str("outcome", outcome.String()).Dur("took", time.Since(begun)).
+	})
+	s.log.Info().Str("job", string(j.ID)).Str("queue", q.Name).Str("outcome", result.String()).Dur("took", time.Since(begun)).
 		Uint64("config", s.config.Current().Version).Int("steps", len(j.Steps)).Msg("job handed in")
-	switch outcome {
-	case dispatch.OutcomeStored:
+	switch result {
+	case stored:
 		s.Counters.Accepted.Add(1)
 		s.note(dispatch.NoteArgs{Job: &j})
 		return nil
-	case dispatch.OutcomeUndecided:
+	case undecided:
 		s.Counters.Undecided.Add(1)
 		return workload.ErrUndecided
 	}
@@ -117,20 +115,15 @@
 // repeated until its outcome is known: a write without an answer may take
 // effect seconds later, and only a repeat under the same condition settles
 // it.
-func (s *Service) write(ctx context.Context, t rowstore.Txn, relay dispatch.StoreArgs) dispatch.Outcome {
+func (s *Service) write(ctx context.Context, t rowstore.Txn) outcome {
 	begun := time.Now()
 	uncertain := false
 	for {
-		outcome, err := s.writeOnce(ctx, t)
+		result, err := s.writeOnce(ctx, t)
 		if err == nil {
-			return outcome
+			return result
 		}
 		uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
-		if relayed := s.relay(ctx, relay, err); relayed == dispatch.OutcomeStored {
-			return relayed
-		} else if relayed == dispatch.OutcomeUndecided {
-			uncertain = true
-		}
 		over := !uncertain && time.Since(begun) > unavailableFor
 		if ctx.Err() != nil || over {
 			break
@@ -138,46 +131,26 @@
 		sleep(ctx, writePause)
 	}
 	if uncertain {
-		return dispatch.OutcomeUndecided
+		return undecided
 	}
-	return dispatch.OutcomeNone
+	return notStored
 }
 
 // writeOnce makes one attempt. An error is rowstore.ErrUnavailable if it
 // proves that this attempt did nothing.
-func (s *Service) writeOnce(ctx context.Context, t rowstore.Txn) (dispatch.Outcome, error) {
+func (s *Service) writeOnce(ctx context.Context, t rowstore.Txn) (outcome, error) {
 	stamp, err := s.store.Apply(ctx, t)
 	var conflict *rowstore.ConflictError
 	switch {
 	case err == nil:
 		s.clock.Set(stamp)
-		return dispatch.OutcomeStored, nil
+		return stored, nil
 	case errors.As(err, &conflict):
 		// The row is there: an earlier attempt, or another entry's.
 		s.Counters.Repeated.Add(1)
-		return dispatch.OutcomeStored, nil
-	}
-	return dispatch.OutcomeNone, err
-}
-
-// relay asks the scheduler's entry to make the write where the store turns
-// this machine away: it may serve others.
-func (s *Service) relay(ctx context.Context, args dispatch.StoreArgs, cause error) dispatch.Outcome {
-	leader := s.elector.Leader()
-	if leader == nil || ctx.Err() != nil || args.Job == nil && args.Cancelled == "" {
-		return dispatch.OutcomeNone
-	}
-	var reply dispatch.StoreReply
-	err := leader.Call(ctx, "Entry.Store", args, &reply, relayTimeout)
-	s.Counters.Relayed.Add(1)
-	if err != nil {
-		s.log.Info().Err(err).AnErr("store", cause).Msg("write not relayed")
-		if errors.Is(err, dispatch.ErrNotSent) {
-			return dispatch.OutcomeNone
-		}
-		return dispatch.OutcomeUndecided
+		return stored, nil
 	}
-	return reply.Outcome
+	return notStored, err
 }
 
 // note tells the scheduler, without waiting for it.
@@ -301,16 +274,16 @@
 		}
 	}
 	key := scheduler.CancelKey(id)
-	outcome := s.write(ctx, rowstore.Txn{
+	result := s.write(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: []byte("{}")}},
-	}, dispatch.StoreArgs{Cancelled: id})
-	s.log.Info().Str("job", string(id)).Str("queue", q.Name).Str("outcome", outcome.String()).Msg("cancel asked for")
-	switch outcome {
-	case dispatch.OutcomeStored:
+	})
+	s.log.Info().Str("job", string(id)).Str("queue", q.Name).Str("outcome", result.String()).Msg("cancel asked for")
+	switch result {
+	case stored:
 		s.Counters.Cancels.Add(1)
 		s.note(dispatch.NoteArgs{Cancelled: id})
 		return nil
-	case dispatch.OutcomeUndecided:
+	case undecided:
 		return workload.ErrUndecided
 	}
 	return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
@@ -342,33 +315,17 @@
 	return reply
 }
 
-// RPC is the service's part of net/rpc for other entries.
-type RPC struct{ service *Service }
+// outcome is what became of a write.
+type outcome uint8
 
-// RPC returns what other entries may call.
-func (s *Service) RPC() *RPC { return &RPC{service: s} }
+const (
+	// notStored: not written, and it never will be.
+	notStored outcome = iota
+	stored
+	// undecided: perhaps written, perhaps later.
+	undecided
+)
 
-// Store makes a write for an entry that the store turns away.
-func (r *RPC) Store(args dispatch.StoreArgs, reply *dispatch.StoreReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
-	defer cancel()
-	s := r.service
-	var key rowstore.Key
-	var value []byte
-	if args.Job != nil {
-		text, err := json.Marshal(args.Job)
-		if err != nil {
-			return eris.Wrap(err, "encode a job")
-		}
-		key, value = scheduler.JobKey(args.Job.ID), text
-	} else {
-		key, value = scheduler.CancelKey(args.Cancelled), []byte("{}")
-	}
-	reply.Outcome = s.write(ctx, rowstore.Txn{
-		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: value}},
-	}, dispatch.StoreArgs{})
-	if reply.Outcome == dispatch.OutcomeStored {
-		s.note(dispatch.NoteArgs(args))
-	}
-	return nil
+func (o outcome) String() string {
+	return [...]string{"not stored", "stored", "undecided"}[o]
 }
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -184,8 +184,11 @@
 		return false
 	}
 	if reply.Refused == dispatch.RefusedEpoch {
-		t.deps.Log.Warn().Str("instance", l.node).Uint64("epoch", t.epoch).Msg("agent has heard of a newer scheduler")
-		return true
+		// Only a scheduler that has taken the lease has an epoch, so this
+		// term is over, whatever the store lets it see.
+		t.deps.Log.Warn().Str("instance", l.node).Uint64("epoch", t.epoch).Msg("term ends: an agent has heard of a newer scheduler")
+		t.cancel()
+		return false
 	}
 	if l.silent {
 		l.silent = false
