--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -9,12 +9,21 @@
 	Capacity workload.Resources
 	// Free is the counted room that is left.
 	Free workload.Resources
-	// FillLoad is the CPU of the filling tasks there.
+	// FillLoad is the CPU that the filling tasks there use or will.
 	FillLoad int
+	// Pressed holds, for a filling step, the load that the filling tasks
+	// there put on the most pressed serving task beside one more task of the
+	// step. It is 0 where nothing serves.
+	Pressed float64
 	// Serving is the number of tasks with a tail target there.
 	Serving int
-	Rack    string
-	Labels  []string
+	// OtherImages is, for a serving step, the number of images of other
+	// serving tasks there.
+	OtherImages int
+	// SameImage says that tasks of the step's image serve there.
+	SameImage bool
+	Rack      string
+	Labels    []string
 	// Suspect workers failed or lost tasks lately; they are used last.
 	Suspect bool
 	// OfStep is the number of the step's tasks there.
@@ -48,6 +57,18 @@
 	// fillPenalty keeps serving tasks off a worker in proportion to the
 	// filling work there.
 	fillPenalty = 2.0
+	// mixPenalty keeps serving tasks of different images apart. A filling
+	// image presses on about a third of the serving images: beside one of
+	// them two thirds of the filling work run at full speed, beside three
+	// less than a third.
+	mixPenalty = 0.5
+	sameBonus  = 1.5
+	// pressureFree is the load on a serving task that its tail bears at most
+	// times: its target stands at a load of about 0.78, and its own goes up
+	// to 0.63.
+	pressureFree = 0.12
+	// pressurePenalty weighs the load above that against free room.
+	pressurePenalty = 12.0
 )
 
 // Choose returns the index of the best worker, or -1 if the task fits on
@@ -104,19 +125,18 @@
 }
 
 // room scores a worker by what is there already. Serving tasks are packed
-// onto few workers, other counted tasks go beside them, and filling tasks to
+// by image, other counted tasks go beside them, and filling tasks to
 // the workers without serving ones, the emptiest first.
 func room(s *workload.Step, w *Candidate) float64 {
 	free := share(w.Free.CPU, w.Capacity.CPU) + share(w.Free.Memory, w.Capacity.Memory)/4
 	switch {
 	case s.Fills:
-		free = share(unused(w)-w.FillLoad, w.Capacity.CPU)
-		if w.Serving == 0 {
-			return apartBonus + free
-		}
-		return free
+		return share(unused(w)-w.FillLoad, w.Capacity.CPU) - pressurePenalty*max(0, w.Pressed-pressureFree)
 	case s.TailTarget > 0:
-		free = -free - fillPenalty*share(w.FillLoad, w.Capacity.CPU)
+		free = -free - fillPenalty*share(w.FillLoad, w.Capacity.CPU) - mixPenalty*float64(w.OtherImages)
+		if w.SameImage {
+			free += sameBonus
+		}
 	}
 	if w.Serving > 0 {
 		return apartBonus + free
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -16,6 +16,8 @@
 	// sameTime is how far apart two samples may be to show the same load of
 	// a job, which changes within seconds.
 	sameTime = 800 * time.Millisecond
+	// harmlessExtra is the load below which a task does not press.
+	harmlessExtra = 0.015
 	// tellEvery is the least time between two tellings of what was learnt.
 	tellEvery = time.Second
 )
@@ -92,6 +94,33 @@
 	return sum
 }
 
+// pressedBy is the load on the most pressed serving image of w, with the
+// filling tasks there at full pace and one more of s.
+func (l *learner) pressedBy(w *worker, s *workload.Step) float64 {
+	if w.serving == 0 || w.info.Capacity.CPU == 0 {
+		return 0
+	}
+	worst := 0.0
+	whole := float64(w.info.Capacity.CPU)
+	for serving := range w.servingImages() {
+		sum := 0.0
+		own := l.model.Weight(pressure.Pair{Serving: serving, Filling: s.Image})
+		for image, cpu := range w.fills {
+			if cpu > 0 {
+				sum += l.model.Weight(pressure.Pair{Serving: serving, Filling: image}).Value * float64(cpu) / whole
+			}
+		}
+		extra := own.Value * float64(s.Need.CPU) / whole
+		if extra < harmlessExtra {
+			// What does not press adds nothing, however pressed the serving
+			// task is by others.
+			sum = 0
+		}
+		worst = max(worst, sum+extra)
+	}
+	return worst
+}
+
 // every is the time between two samples of one of n agents.
 func (l *learner) every(n int) time.Duration {
 	return max(sampleEvery, time.Duration(n)*time.Second/samplesPerSecond)
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -106,6 +106,12 @@
 func (t *Term) planStep(v *view, j *job, o *occurrence, si int) {
 	s := o.steps[si]
 	v.countStep(s)
+	switch {
+	case s.spec.Fills:
+		t.press(v, s.spec)
+	case s.spec.TailTarget > 0:
+		v.countImages(s.spec)
+	}
 	now := time.Now()
 	for i := range s.tasks {
 		k := &s.tasks[i]
@@ -117,6 +123,35 @@
 			return
 		}
 		t.place(v, j, o, si, i, n, k.run+1)
+		switch {
+		case s.spec.Fills:
+			v.candidates[n].Pressed = t.learner.pressedBy(v.workers[n], s.spec)
+		case s.spec.TailTarget > 0:
+			v.candidates[n].SameImage = true
+		}
+	}
+}
+
+// press sets what one more task of s would put on the serving tasks of each
+// candidate.
+func (t *Term) press(v *view, s *workload.Step) {
+	for i, w := range v.workers {
+		v.candidates[i].Pressed = t.learner.pressedBy(w, s)
+	}
+}
+
+// countImages tells the serving images on each candidate apart from s's.
+func (v *view) countImages(s *workload.Step) {
+	for i, w := range v.workers {
+		c := &v.candidates[i]
+		c.OtherImages, c.SameImage = 0, false
+		for image := range w.servingImages() {
+			if image == s.Image {
+				c.SameImage = true
+			} else {
+				c.OtherImages++
+			}
+		}
 	}
 }
 
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -27,6 +27,8 @@
 	// target for their tail.
 	fillLoad int
 	serving  int
+	// fills sums the CPU of filling runs by image.
+	fills map[string]int
 	// stopping is the part of used that is being stopped.
 	stopping workload.Resources
 	// processed is the highest end applied, stored the highest whose effect
@@ -44,7 +46,7 @@
 }
 
 func newWorker(id workload.WorkerID, agent string) *worker {
-	return &worker{id: id, agent: agent, runs: map[workload.RunID]reservation{}}
+	return &worker{id: id, agent: agent, runs: map[workload.RunID]reservation{}, fills: map[string]int{}}
 }
 
 // add counts a run.
@@ -59,6 +61,9 @@
 	w.runs[r] = v
 	w.used = w.used.Add(v.counted)
 	w.fillLoad += v.fill
+	if v.fill > 0 {
+		w.fills[v.image] += v.fill
+	}
 	if v.serves {
 		w.serving++
 	}
@@ -86,6 +91,9 @@
 	delete(w.runs, r)
 	w.used = w.used.Sub(v.counted)
 	w.fillLoad -= v.fill
+	if v.fill > 0 {
+		w.fills[v.image] -= v.fill
+	}
 	if v.serves {
 		w.serving--
 	}
