--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -208,7 +208,7 @@
 		x.changed = r.touch(false)
 	}
 	x.progress = s.Progress
-	x.rough = s.Rough
+	x.measure(s.Rough, r.deps.Now())
 }
 
 // applyAbsent takes note that a listing lacks a run.
--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmonrock.example/decide/pressure"
+	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -96,30 +97,74 @@
 	return worst
 }
 
-// serving lists the serving tasks at work.
+// serving lists the serving jobs at work on the worker. The tasks of one job
+// carry the same load, and each figure is rough, so their mean is taken.
 func (r *Runner) serving(l *life) []pressure.Serving {
-	var list []pressure.Serving
 	now := r.deps.Now()
+	index := map[workload.JobID]int{}
+	var list []pressure.Serving
+	var rates []meanRate
 	for _, x := range l.runs {
-		if x.tailTarget <= 0 || x.state != dispatch.RunPresent || x.progress < atWork || x.rough <= 0 {
+		if !x.atWork() || x.rate <= 0 {
 			continue
 		}
-		target := float64(x.tailTarget.Milliseconds())
-		switch {
-		case x.rough <= target:
-			x.overSince = 0
-		case x.overSince == 0:
-			x.overSince = now
+		i, ok := index[x.id.Task.Job]
+		if !ok {
+			i = len(list)
+			index[x.id.Task.Job] = i
+			list = append(list, pressure.Serving{Image: x.image, Target: float64(x.tailTarget.Milliseconds()), Base: r.base[x.image]})
+			rates = append(rates, meanRate{})
 		}
-		s := pressure.Serving{Image: x.image, Tail: x.rough, Target: target, Base: r.base[x.image]}
+		rates[i].add(x.rate)
 		if x.overSince > 0 {
-			s.Over = now - x.overSince
+			list[i].Over = max(list[i].Over, now-x.overSince)
 		}
-		list = append(list, s)
+	}
+	for i := range list {
+		list[i].Tail = 1 / rates[i].mean()
 	}
 	return list
 }
 
+// meanRate averages the inverse of tails, which is linear in the load.
+type meanRate struct {
+	sum float64
+	n   int
+}
+
+func (m *meanRate) add(rate float64) {
+	m.sum += rate
+	m.n++
+}
+
+func (m *meanRate) mean() float64 { return m.sum / float64(max(1, m.n)) }
+
+// atWork reports whether x is a serving task that has started up.
+func (x *run) atWork() bool {
+	return x.tailTarget > 0 && x.state == dispatch.RunPresent && x.progress >= atWork && x.rough > 0
+}
+
+// rateGain is the weight of a new figure against those before it.
+const rateGain = 1.0
+
+// measure takes a new rough figure of a run.
+func (x *run) measure(rough float64, now time.Duration) {
+	x.rough = rough
+	if !x.atWork() {
+		return
+	}
+	if x.rate == 0 {
+		x.rate = 1 / rough
+	}
+	x.rate += rateGain * (1/rough - x.rate)
+	switch {
+	case rough <= float64(x.tailTarget.Milliseconds()):
+		x.overSince = 0
+	case x.overSince == 0:
+		x.overSince = now
+	}
+}
+
 // filling sums the filling work by image.
 func (l *life) filling() []pressure.Filling {
 	sums := map[string]*pressure.Filling{}
@@ -169,18 +214,23 @@
 		return
 	}
 	s := &dispatch.TailSample{}
-	seen := map[string]int{}
+	index := map[workload.JobID]int{}
+	var rates []meanRate
 	for _, x := range l.runs {
-		if x.tailTarget <= 0 || x.state != dispatch.RunPresent || x.progress < atWork || x.rough <= 0 {
+		if !x.atWork() {
 			continue
 		}
-		key := string(x.id.Task.Job)
-		if i, ok := seen[key]; ok {
-			s.Serving[i].Tail = max(s.Serving[i].Tail, x.rough)
-			continue
+		i, ok := index[x.id.Task.Job]
+		if !ok {
+			i = len(s.Serving)
+			index[x.id.Task.Job] = i
+			s.Serving = append(s.Serving, dispatch.ServingSample{Job: x.id.Task.Job, Image: x.image})
+			rates = append(rates, meanRate{})
 		}
-		seen[key] = len(s.Serving)
-		s.Serving = append(s.Serving, dispatch.ServingSample{Job: x.id.Task.Job, Image: x.image, Tail: x.rough})
+		rates[i].add(1 / x.rough)
+	}
+	for i := range s.Serving {
+		s.Serving[i].Tail = 1 / rates[i].mean()
 	}
 	if len(s.Serving) == 0 {
 		return
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -137,6 +137,8 @@
 	changed     uint64
 	progress    int
 	rough       float64
+	// rate is the inverse of the tail of a serving task, smoothed.
+	rate float64
 	// pace is the pace that the worker was last told, at pacedAt; a run that
 	// was never told works at full pace.
 	pace    int
