--- /dev/null
+++ b/decide/order/order.go
@@ -0,0 +1,90 @@
+// Package order decides which job's tasks are placed first.
+package order
+
+import (
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// Class groups the jobs of one priority by what is still to be gained.
+type Class uint8
+
+const (
+	// InTime jobs can still meet their objective.
+	InTime Class = iota
+	// Late jobs can only end within lateFactor times their objective.
+	Late
+	// Overdue jobs can't; they wait for what the others leave.
+	Overdue
+)
+
+const (
+	// lateFactor is the multiple of its objective within which a job is of
+	// some use to its client.
+	lateFactor = 3
+	// uneven is how much longer the longest task of a step takes than the
+	// client's estimate for all of them.
+	uneven = 1.15
+)
+
+// Key orders jobs; the lesser comes first.
+type Key struct {
+	Priority int
+	Class    Class
+	// By is the time until which the job has to end to stay in its class,
+	// since the start of the store's clock.
+	By time.Duration
+}
+
+// Less reports whether a comes before b.
+func (a Key) Less(b Key) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	return a.By < b.By
+}
+
+// Chain is the longest chain of work among the steps that are not done, by
+// the client's estimates.
+func Chain(steps []workload.Step, done func(i int) bool) time.Duration {
+	finish := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i := range steps {
+		for _, a := range steps[i].After {
+			finish[i] = max(finish[i], finish[a])
+		}
+		if !done(i) {
+			finish[i] += time.Duration(uneven * float64(steps[i].Estimate))
+		}
+		longest = max(longest, finish[i])
+	}
+	return longest
+}
+
+// Objective is the time within which a client expects its job to end.
+func Objective(q workload.Queue, whole time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(whole)) + q.TargetLatency
+}
+
+// Rank returns the key of a job that was accepted at accepted, with whole the
+// chain of all of its work and left the chain of what is not done.
+//
+// On heavy days there is more work than room for seconds on end. In the order
+// of acceptance every job would then end late; this order serves those that
+// can still end in time, and of them the most urgent first.
+func Rank(q workload.Queue, accepted, now, whole, left time.Duration) Key {
+	objective := Objective(q, whole)
+	k := Key{Priority: q.Priority, Class: InTime, By: accepted + objective}
+	if now+left <= k.By {
+		return k
+	}
+	k.Class, k.By = Late, accepted+lateFactor*objective
+	if now+left > k.By {
+		k.Class = Overdue
+	}
+	return k
+}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonrock.example/decide/order"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -84,11 +85,12 @@
 	occurrences []*occurrence
 	dirty       bool
 	started     bool
-	arrival     int64
+	// key is the job's place in the order of the last plan.
+	key order.Key
 }
 
 func newJob(spec workload.Job) *job {
-	return &job{spec: spec, queue: spec.Queue, state: workload.Queued, stored: workload.Queued, arrival: spec.Accepted}
+	return &job{spec: spec, queue: spec.Queue, state: workload.Queued, stored: workload.Queued}
 }
 
 func (j *job) newOccurrence(number int) *occurrence {
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"persimmonrock.example/decide/order"
 	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/structs/workload"
 )
@@ -75,13 +76,26 @@
 			}
 		}
 	}
-	sort.SliceStable(t.active, func(i, k int) bool {
-		a, b := t.active[i], t.active[k]
-		if a.queue.Priority != b.queue.Priority {
-			return a.queue.Priority < b.queue.Priority
-		}
-		return a.arrival < b.arrival
-	})
+	now := time.Duration(t.storeNow()) * time.Millisecond
+	for _, j := range t.active {
+		j.key = j.rank(now)
+	}
+	sort.SliceStable(t.active, func(i, k int) bool { return t.active[i].key.Less(t.active[k].key) })
+}
+
+// rank is the job's place in the order now.
+func (j *job) rank(now time.Duration) order.Key {
+	accepted := time.Duration(j.spec.Accepted) * time.Millisecond
+	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
+		return order.Key{Priority: j.queue.Priority, By: accepted}
+	}
+	whole := order.Chain(j.spec.Steps, func(int) bool { return false })
+	left := whole
+	if len(j.occurrences) > 0 {
+		o := j.occurrences[0]
+		left = order.Chain(j.spec.Steps, func(i int) bool { return o.steps[i].complete() })
+	}
+	return order.Rank(j.queue, accepted, now, whole, left)
 }
 
 func (t *Term) planJob(v *view, j *job) {
