--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -61,7 +61,7 @@
 	// image presses on about a third of the serving images: beside one of
 	// them two thirds of the filling work run at full speed, beside three
 	// less than a third.
-	mixPenalty = 0.5
+	mixPenalty = 1.5
 	sameBonus  = 1.5
 	// pressureFree is the load on a serving task that its tail bears at most
 	// times: its target stands at a load of about 0.78, and its own goes up
