--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -15,6 +15,9 @@
 	// there put on the most pressed serving task beside one more task of the
 	// step. It is 0 where nothing serves.
 	Pressed float64
+	// Presses says that a task of the step is known to press on a serving
+	// task there.
+	Presses bool
 	// Serving is the number of tasks with a tail target there.
 	Serving int
 	// OtherImages is, for a serving step, the number of images of other
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -18,6 +18,9 @@
 	sameTime = 800 * time.Millisecond
 	// harmlessExtra is the load below which a task does not press.
 	harmlessExtra = 0.015
+	// pressingExtra is the load above which it is to run elsewhere. A serving
+	// task has 0.15 to spare at the top of its own load.
+	pressingExtra = 0.05
 	// tellEvery is the least time between two tellings of what was learnt.
 	tellEvery = time.Second
 )
@@ -95,12 +98,12 @@
 }
 
 // pressedBy is the load on the most pressed serving image of w, with the
-// filling tasks there at full pace and one more of s.
-func (l *learner) pressedBy(w *worker, s *workload.Step) float64 {
+// filling tasks there at full pace and one more of s. presses says that this
+// one is known to add to it.
+func (l *learner) pressedBy(w *worker, s *workload.Step) (worst float64, presses bool) {
 	if w.serving == 0 || w.info.Capacity.CPU == 0 {
-		return 0
+		return 0, false
 	}
-	worst := 0.0
 	whole := float64(w.info.Capacity.CPU)
 	for serving := range w.servingImages() {
 		sum := 0.0
@@ -111,6 +114,7 @@
 			}
 		}
 		extra := own.Value * float64(s.Need.CPU) / whole
+		presses = presses || own.Known && extra > pressingExtra
 		if extra < harmlessExtra {
 			// What does not press adds nothing, however pressed the serving
 			// task is by others.
@@ -118,7 +122,7 @@
 		}
 		worst = max(worst, sum+extra)
 	}
-	return worst
+	return worst, presses
 }
 
 // every is the time between two samples of one of n agents.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -123,6 +123,9 @@
 	switch {
 	case s.spec.Fills:
 		t.press(v, s.spec)
+		if j.key.Class == order.InTime {
+			defer v.barPressed()()
+		}
 	case s.spec.TailTarget > 0:
 		v.countImages(s.spec)
 	}
@@ -139,18 +142,47 @@
 		t.place(v, j, o, si, i, n, k.run+1)
 		switch {
 		case s.spec.Fills:
-			v.candidates[n].Pressed = t.learner.pressedBy(v.workers[n], s.spec)
+			v.candidates[n].Pressed, _ = t.learner.pressedBy(v.workers[n], s.spec)
 		case s.spec.TailTarget > 0:
 			v.candidates[n].SameImage = true
 		}
 	}
 }
 
+// barPressed bars the workers on whose serving tasks one more task would
+// press, if there are others, and returns what lifts the bar. A job that can
+// still end in time does better to wait for room where it may work at full
+// speed; one that is late goes wherever there is room.
+func (v *view) barPressed() func() {
+	var barred []int
+	others := false
+	for i := range v.candidates {
+		switch {
+		case v.candidates[i].Barred:
+		case v.candidates[i].Presses:
+			barred = append(barred, i)
+		default:
+			others = true
+		}
+	}
+	if !others {
+		return func() {}
+	}
+	for _, i := range barred {
+		v.candidates[i].Barred = true
+	}
+	return func() {
+		for _, i := range barred {
+			v.candidates[i].Barred = false
+		}
+	}
+}
+
 // press sets what one more task of s would put on the serving tasks of each
 // candidate.
 func (t *Term) press(v *view, s *workload.Step) {
 	for i, w := range v.workers {
-		v.candidates[i].Pressed = t.learner.pressedBy(w, s)
+		v.candidates[i].Pressed, v.candidates[i].Presses = t.learner.pressedBy(w, s)
 	}
 }
 
