--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -34,7 +34,7 @@
 
 // Counters are a scheduler's figures over all terms of a process.
 type Counters struct {
-	Terms, Jobs, JobsEnded, Placements, Ends, Void, Lost, Commits, CommitErrors, Preempted, Stalled atomic.Int64
+	Terms, Jobs, JobsEnded, Placements, Ends, Void, Lost, Commits, CommitErrors, Preempted, Stalled, Relocated atomic.Int64
 }
 
 // Elector watches the lease and serves terms.
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -32,6 +32,8 @@
 	// ordered says that the placement is stored and was handed to the agent.
 	ordered  bool
 	placedAt time.Time
+	// moves counts how often the task was relocated.
+	moves int
 	// avoid is the worker where the task failed last.
 	avoid workload.WorkerID
 	// notBefore delays the next run after repeated failures.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -23,6 +23,7 @@
 			t.planJob(v, j)
 		}
 	}
+	t.relocate(v)
 }
 
 // view is the workers in a fixed order, as the placement sees them. It is
--- /dev/null
+++ b/entry/scheduler/relocate.go
@@ -0,0 +1,76 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/decide/order"
+	"persimmonrock.example/decide/placement"
+	"persimmonrock.example/structs/workload"
+)
+
+const (
+	// relocateAfter is how long a run stays where it is at least: the
+	// figures of its pressure cover half a second.
+	relocateAfter = 900 * time.Millisecond
+	// relocatePerPlan bounds the runs that move at a time, and
+	// relocatePerTask how often one task does.
+	relocatePerPlan = 4
+	relocatePerTask = 2
+)
+
+// relocate stops filling runs that press on serving tasks, and so hardly
+// work, where another worker has room for them on which they don't. They
+// resume there from their checkpoint. The caller has placed all it could.
+func (t *Term) relocate(v *view) {
+	left := relocatePerPlan
+	for _, j := range t.active {
+		if j.state.Final() || j.key.Class == order.Overdue || j.queue.Advised {
+			continue
+		}
+		v.serve(j.queue.Service)
+		for _, o := range j.occurrences {
+			for si, s := range o.steps {
+				if !s.spec.Fills || !s.spec.Checkpointing || s.spec.Gang || s.done+s.waiting == len(s.tasks) {
+					continue
+				}
+				left -= t.relocateStep(v, j, o, si, left)
+				if left <= 0 {
+					return
+				}
+			}
+		}
+	}
+}
+
+func (t *Term) relocateStep(v *view, j *job, o *occurrence, si, limit int) int {
+	s := o.steps[si]
+	v.countStep(s)
+	t.press(v, s.spec)
+	defer v.barPressed()()
+	moved := 0
+	now := time.Now()
+	for i := range s.tasks {
+		k := &s.tasks[i]
+		if moved >= limit {
+			break
+		}
+		from := v.index(k.worker)
+		if k.state != taskPlaced || k.stopping || !k.ordered || k.moves >= relocatePerTask || from < 0 ||
+			!v.candidates[from].Presses || now.Sub(k.placedAt) < relocateAfter {
+			continue
+		}
+		n := placement.Choose(placement.Request{Step: s.spec, Avoid: -1}, v.candidates)
+		if n < 0 || v.candidates[n].Presses {
+			break
+		}
+		v.take(n, s.spec)
+		k.moves++
+		moved++
+		t.deps.Counters.Relocated.Add(1)
+		id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
+		t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Str("from", string(k.worker)).
+			Str("room", string(v.workers[n].id)).Msg("relocate")
+		t.stop(id, k)
+	}
+	return moved
+}
