--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -124,8 +124,8 @@
 	switch {
 	case s.spec.Fills:
 		t.press(v, s.spec)
-		if j.key.Class == order.InTime {
-			defer v.barPressed()()
+		if !t.waitedOut(j) {
+			defer v.barPressed(s.spec)()
 		}
 	case s.spec.TailTarget > 0:
 		v.countImages(s.spec)
@@ -150,11 +150,21 @@
 	}
 }
 
-// barPressed bars the workers on whose serving tasks one more task would
-// press, if there are others, and returns what lifts the bar. A job that can
-// still end in time does better to wait for room where it may work at full
-// speed; one that is late goes wherever there is room.
-func (v *view) barPressed() func() {
+// patience is how long after it was of any use to its client a job still
+// waits for a worker on which it does not press. Then it goes wherever there
+// is room, so that no job waits for ever.
+const patience = 30 * time.Second
+
+func (t *Term) waitedOut(j *job) bool {
+	now := time.Duration(t.storeNow()) * time.Millisecond
+	return j.key.Class == order.Overdue && now > j.key.By+patience
+}
+
+// barPressed bars the workers on whose serving tasks one more task of s would
+// press, if there are others that could hold it, and returns what lifts the
+// bar. A task does better to wait for room where it may work at full speed
+// than to creep, and to take serving tasks over their targets.
+func (v *view) barPressed(s *workload.Step) func() {
 	var barred []int
 	others := false
 	for i := range v.candidates {
@@ -162,7 +172,7 @@
 		case v.candidates[i].Barred:
 		case v.candidates[i].Presses:
 			barred = append(barred, i)
-		default:
+		case s.Need.Fits(v.candidates[i].Capacity):
 			others = true
 		}
 	}
--- a/entry/scheduler/relocate.go
+++ b/entry/scheduler/relocate.go
@@ -46,7 +46,7 @@
 	s := o.steps[si]
 	v.countStep(s)
 	t.press(v, s.spec)
-	defer v.barPressed()()
+	defer v.barPressed(s.spec)()
 	moved := 0
 	now := time.Now()
 	for i := range s.tasks {
