--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -76,6 +76,7 @@
 	go rows.Run(context.WithoutCancel(ctx), p.settings.Node)
 	go config.Run(context.WithoutCancel(ctx))
 	elector.Run(ctx)
+	go elector.Follow(context.WithoutCancel(ctx))
 	return p.stopEntry(service, clients)
 }
 
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -139,7 +139,9 @@
 	pause := commitRetry
 	for t.ctx.Err() == nil {
 		sent := t.deps.Now()
-		stamp, err := t.deps.Store.Apply(t.ctx, full)
+		// A process that is told to stop still waits for the answer: only
+		// with the version of its last transaction can it release the lease.
+		stamp, err := t.deps.Store.Apply(context.WithoutCancel(t.ctx), full)
 		t.deps.Counters.Commits.Add(1)
 		if err == nil {
 			t.renewed(lease, stamp.Version, sent, stamp)
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -87,6 +87,18 @@
 	}
 }
 
+// Follow keeps the knowledge of who leads up to date without ever taking the
+// lease, for a process that stops and still answers calls.
+func (e *Elector) Follow(ctx context.Context) {
+	var w watch
+	for ctx.Err() == nil {
+		if row, err := rowstore.Get(ctx, e.deps.Store, leaseKey); err == nil {
+			e.saw(&w, row)
+		}
+		sleep(ctx, pollEvery/4)
+	}
+}
+
 // saw takes one look into account. ok is false if the row can't be read.
 func (e *Elector) saw(w *watch, row rowstore.Row) (leaseRow, bool) {
 	now := e.deps.Now()
