--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -77,9 +77,40 @@
 	r.life.changed = r.touch(true)
 	r.deps.Log.Info().Str("worker", string(w.ID)).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).
 		Uint64("token", r.cfg.Token).Msg("worker found")
+	r.answered(r.life)
 	r.apply(r.life, listing, sent)
 }
 
+// answered notes that the worker has answered a call.
+func (r *Runner) answered(l *life) {
+	l.answeredAt = r.deps.Now()
+	if l.silent {
+		l.silent, l.lapsed = false, false
+		l.changed = r.touch(true)
+		r.deps.Log.Info().Str("worker", string(l.worker.ID)).Msg("worker answers again")
+	}
+}
+
+// checkSilent notes that the worker does not answer, so that nothing more is
+// placed there, and that its last lease is over: whether it is gone or only
+// out of reach, nothing runs there any more.
+func (r *Runner) checkSilent(l *life) {
+	now := r.deps.Now()
+	if now-l.answeredAt <= silentAfter {
+		return
+	}
+	if !l.silent {
+		l.silent = true
+		l.changed = r.touch(true)
+	}
+	if l.lapsed || now <= l.leaseEnd {
+		return
+	}
+	l.lapsed = true
+	l.changed = r.touch(true)
+	r.deps.Log.Warn().Str("worker", string(l.worker.ID)).Dur("silent", now-l.answeredAt).Int("runs", len(l.runs)).Msg("worker silent beyond its last lease")
+}
+
 func (r *Runner) candidateFailed(ctx context.Context, id workload.WorkerID, err error) {
 	var refused *workerctl.RefusedError
 	if errors.Is(err, workerctl.ErrGone) || errors.As(err, &refused) {
@@ -120,6 +151,7 @@
 	}
 	r.mu.Lock()
 	if r.life == l {
+		r.answered(l)
 		r.apply(l, listing, sent)
 	}
 	waiting := len(l.ends) > 0
@@ -135,8 +167,11 @@
 	var refused *workerctl.RefusedError
 	gone := errors.Is(err, workerctl.ErrGone)
 	fenced := errors.As(err, &refused)
-	if gone && r.life == l {
+	switch {
+	case gone && r.life == l:
 		r.endLife("it answers that it is another life")
+	case r.life == l:
+		r.checkSilent(l)
 	}
 	r.mu.Unlock()
 	if fenced {
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -107,6 +107,9 @@
 	if l.worker.Draining || l.left {
 		return "the worker is leaving"
 	}
+	if l.silent || r.deps.Now()-l.answeredAt > silentAfter {
+		return "the worker does not answer"
+	}
 	if !l.listed {
 		return "the worker was not listed yet"
 	}
@@ -169,6 +172,7 @@
 	var refused *workerctl.RefusedError
 	switch {
 	case err == nil:
+		r.answered(l)
 		r.confirm(l, x, now)
 		return true, ""
 	case errors.Is(err, workerctl.ErrGone):
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -93,6 +93,15 @@
 	listed   bool
 	left     bool
 	clock    clockReading
+	// answeredAt is when the worker last answered.
+	answeredAt time.Duration
+	// leaseEnd is when the last lease that was sent is over for certain.
+	leaseEnd time.Duration
+	// silent says that the worker does not answer.
+	silent bool
+	// lapsed says that its last lease is over and the worker has not answered since:
+	// nothing runs there any more.
+	lapsed bool
 	// got is the highest end that was read, seen the highest that is stored.
 	got  uint64
 	seen uint64
@@ -191,19 +200,33 @@
 // held, or 0 if there is no grant. The grant runs on this machine's clock;
 // the reading arrived at or after the moment that it shows, so counting from
 // the arrival errs on the safe side but for the worker's slow clock, for
-// which the scheduler adds a margin.
+// which margins are added on both sides.
+//
+// A worker that does not answer gets no longer lease: it may be gone for
+// good, and its tasks can start elsewhere only when the last lease is over.
 func (r *Runner) leaseLimit(l *life) workerctl.Clock {
 	now := r.deps.Now()
-	left := min(r.grantEnd-now, r.cfg.MaxLease-leaseMargin)
-	if left <= 0 || l.clock.at == 0 {
+	left := min(r.grantEnd-now, maxLease, r.cfg.MaxLease-leaseMargin)
+	if left <= 0 || l.clock.at == 0 || now-l.answeredAt > silentAfter {
 		return 0
 	}
+	l.leaseEnd = max(l.leaseEnd, now+left+time.Duration(clockDrift*float64(left))+leaseMargin)
 	return l.clock.now.Add(now - l.clock.at + left)
 }
 
-// leaseMargin keeps a lease below the longest that the worker takes, after
-// the readings of its clock have aged.
-const leaseMargin = 200 * time.Millisecond
+const (
+	// leaseMargin keeps a lease below the longest that the worker takes,
+	// after the readings of its clock have aged.
+	leaseMargin = 200 * time.Millisecond
+	// maxLease is the longest lease that is asked for: an agent that is
+	// killed is back within about 4 s, and its worker's tasks outlast that.
+	maxLease = 5 * time.Second
+	// silentAfter is how long a worker may fail to answer before its lease
+	// is no longer renewed. A listing is given one second.
+	silentAfter = 1600 * time.Millisecond
+	// clockDrift is more than the 2 % by which a worker's clock may be slow.
+	clockDrift = 0.03
+)
 
 // used is the counted room of everything that is or may be on the worker;
 // sized is false while the size of a run is not known.
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -92,7 +92,8 @@
 	}
 	reply.Worker = l.worker
 	reply.Worker.Draining = l.worker.Draining || l.left
-	reply.Listed = l.listed
+	reply.Listed = l.listed && !l.silent
+	reply.Lapsed = l.lapsed
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range l.runs {
 		if x.changed > since || since == 0 {
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -291,7 +291,11 @@
 	if info.Draining && !w.info.Draining {
 		defer t.evacuate(w)
 	}
-	alive := reply.Listed
+	if reply.Lapsed && (w.alive || len(w.runs) > 0) {
+		t.loseRuns(w, "it is silent beyond its last lease")
+		changed = true
+	}
+	alive := reply.Listed && !reply.Lapsed
 	changed = changed || alive != w.alive || info.Draining != w.info.Draining || info.Capacity != w.info.Capacity
 	if alive != w.alive {
 		t.deps.Log.Info().Str("worker", string(info.ID)).Str("instance", l.node).Bool("alive", alive).Int("runs", len(w.runs)).
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -124,8 +124,11 @@
 	Version uint64
 	// Worker is the living worker; its ID is empty while none is known.
 	Worker workload.Worker
-	// Listed says that the worker's own lists were read at least once.
+	// Listed says that the worker's own lists were read and that it answers.
 	Listed bool
+	// Lapsed says that the worker has been silent until its last lease was
+	// over: nothing runs there.
+	Lapsed bool
 	// Former lists earlier lives that are known to have ended.
 	Former []workload.WorkerID
 	Runs   []RunReport
