--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -72,11 +72,14 @@
 		r.endLife("another life has begun")
 	}
 	r.counters.Lives++
-	r.life = &life{worker: *r.candidate, sequence: r.candidateSeq, runs: map[workload.RunID]*run{}}
+	r.life = &life{id: w.ID, worker: *r.candidate, sequence: r.candidateSeq, runs: map[workload.RunID]*run{}}
 	r.candidate = nil
 	r.life.changed = r.touch(true)
 	r.deps.Log.Info().Str("worker", string(w.ID)).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).
 		Uint64("token", r.cfg.Token).Msg("worker found")
+	if r.deps.Found != nil && r.candidateSeq > 0 {
+		go r.deps.Found(ctx, r.life.worker)
+	}
 	r.answered(r.life)
 	r.apply(r.life, listing, sent)
 }
@@ -87,7 +90,7 @@
 	if l.silent {
 		l.silent, l.lapsed = false, false
 		l.changed = r.touch(true)
-		r.deps.Log.Info().Str("worker", string(l.worker.ID)).Msg("worker answers again")
+		r.deps.Log.Info().Str("worker", string(l.id)).Msg("worker answers again")
 	}
 }
 
@@ -108,7 +111,7 @@
 	}
 	l.lapsed = true
 	l.changed = r.touch(true)
-	r.deps.Log.Warn().Str("worker", string(l.worker.ID)).Dur("silent", now-l.answeredAt).Int("runs", len(l.runs)).Msg("worker silent beyond its last lease")
+	r.deps.Log.Warn().Str("worker", string(l.id)).Dur("silent", now-l.answeredAt).Int("runs", len(l.runs)).Msg("worker silent beyond its last lease")
 }
 
 func (r *Runner) candidateFailed(ctx context.Context, id workload.WorkerID, err error) {
@@ -129,8 +132,8 @@
 // endLife notes that the life is over; nothing of it runs any more.
 func (r *Runner) endLife(why string) {
 	l := r.life
-	r.deps.Log.Info().Str("worker", string(l.worker.ID)).Int("runs", len(l.runs)).Str("why", why).Msg("worker gone")
-	r.former = append(r.former, l.worker.ID)
+	r.deps.Log.Info().Str("worker", string(l.id)).Int("runs", len(l.runs)).Str("why", why).Msg("worker gone")
+	r.former = append(r.former, l.id)
 	if len(r.former) > maxFormer {
 		r.former = r.former[1:]
 	}
@@ -144,7 +147,7 @@
 	r.counters.Holds++
 	r.mu.Unlock()
 	sent := r.deps.Now()
-	listing, err := r.deps.Control.Hold(ctx, l.worker.ID, order)
+	listing, err := r.deps.Control.Hold(ctx, l.id, order)
 	if err != nil {
 		r.holdFailed(ctx, l, err)
 		return
@@ -178,7 +181,7 @@
 		r.deps.Log.Error().Err(err).Uint64("token", r.cfg.Token).Msg("a newer agent holds the worker")
 	}
 	if ctx.Err() == nil && !gone {
-		r.deps.Log.Warn().Err(err).Str("worker", string(l.worker.ID)).Msg("hold failed")
+		r.deps.Log.Warn().Err(err).Str("worker", string(l.id)).Msg("hold failed")
 		r.pause(ctx, holdRetry)
 	}
 }
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -16,6 +16,11 @@
 	// notDoneTries is how often a start is repeated at a worker that turns
 	// it away: it may be unhealthy, and another worker serves better.
 	notDoneTries = 3
+	// orderFresh is the age beyond which an order is refused, counted from
+	// this agent's word that it answers to: an order that the network held up
+	// may be about a job that was cancelled since. The scheduler hears from
+	// each agent about once a second.
+	orderFresh = 2 * time.Second
 	// settleTime bounds the repeats of a start without an answer. Then it is
 	// stopped, which voids it.
 	settleTime = 2500 * time.Millisecond
@@ -29,7 +34,7 @@
 	if refused == "" && (r.life == nil || r.life.worker.ID != args.Worker) {
 		refused = dispatch.RefusedWorker
 	}
-	if refused == "" && r.grantEnd <= r.deps.Now() {
+	if now := r.deps.Now(); refused == "" && (r.grantEnd <= now || now-args.Echo > orderFresh) {
 		refused = dispatch.RefusedGrant
 	}
 	if refused != "" {
@@ -89,7 +94,7 @@
 	r.counters.Starts++
 	r.deps.Log.Info().Stringer("run", o.Run).Uint64("epoch", r.epoch).Int("cpu", o.Need.CPU).Int("memory", o.Need.Memory).
 		Bool("fills", o.Fills).Bool("checkpoint", o.Checkpoint != "").Msg("start")
-	go r.start(context.WithoutCancel(ctx), l, x)
+	go r.start(ctx, l, x)
 }
 
 func (x *run) size(o dispatch.StartOrder) {
@@ -128,7 +133,7 @@
 func (r *Runner) start(ctx context.Context, l *life, x *run) {
 	begun := r.deps.Now()
 	uncertain := false
-	for try := 1; ; try++ {
+	for try := 1; ctx.Err() == nil; try++ {
 		r.mu.Lock()
 		lease := r.leaseLimit(l)
 		current := r.life == l && x.state == dispatch.RunPending && !x.stopping
@@ -140,7 +145,7 @@
 			r.giveUp(ctx, l, x, uncertain, "no answer within the grant")
 			return
 		}
-		now, err := r.deps.Control.Start(ctx, l.worker.ID, workerctl.StartOrder{
+		now, err := r.deps.Control.Start(ctx, l.id, workerctl.StartOrder{
 			Run: x.id, Payload: x.payload, Lease: lease, Token: r.cfg.Token, Checkpoint: x.checkpoint, Ticket: x.ticket,
 		})
 		done, reason := r.startAnswered(l, x, now, err, uncertain)
@@ -246,20 +251,20 @@
 	x.stopping = true
 	r.counters.Stops++
 	r.deps.Log.Info().Stringer("run", id).Uint64("epoch", r.epoch).Msg("stop")
-	go r.stop(context.WithoutCancel(ctx), l, x)
+	go r.stop(ctx, l, x)
 }
 
 // stop repeats a stop until it is answered. The listing after that shows the
 // run's end, or that it never was there.
 func (r *Runner) stop(ctx context.Context, l *life, x *run) {
-	for {
+	for ctx.Err() == nil {
 		r.mu.Lock()
 		current := r.life == l && l.runs[x.id] == x
 		r.mu.Unlock()
 		if !current {
 			return
 		}
-		_, err := r.deps.Control.Stop(ctx, l.worker.ID, x.id, r.cfg.Token)
+		_, err := r.deps.Control.Stop(ctx, l.id, x.id, r.cfg.Token)
 		var refused *workerctl.RefusedError
 		if err == nil || errors.As(err, &refused) {
 			r.mu.Lock()
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -34,6 +34,9 @@
 	Log     zerolog.Logger
 	// Now is a clock that goes on while the machine is suspended.
 	Now func() time.Duration
+	// Found is called with each worker that was found by its report; nil
+	// for none.
+	Found func(context.Context, workload.Worker)
 }
 
 // Runner is one agent's state. All of it is under one lock, which is never
@@ -86,6 +89,8 @@
 
 // life is what is known of one life of the worker.
 type life struct {
+	// id never changes and is read without the lock.
+	id     workload.WorkerID
 	worker workload.Worker
 	// sequence is the number of the latest report.
 	sequence uint64
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	if l.worker.ID == args.Worker {
+	if l.id == args.Worker {
 		r.forget(l, args.Seen)
 	}
 }
@@ -113,7 +113,7 @@
 func (r *Runner) Reported(w workload.Worker, sequence uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.life; l != nil && l.worker.ID == w.ID {
+	if l := r.life; l != nil && l.id == w.ID {
 		if sequence <= l.sequence {
 			return
 		}
@@ -141,6 +141,19 @@
 	r.kickHold()
 }
 
+// Suggest names a worker that may live, without a report of its own.
+func (r *Runner) Suggest(w workload.Worker) {
+	if w.ID == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life == nil && r.candidate == nil {
+		r.candidate, r.candidateSeq = &w, 0
+		r.kickHold()
+	}
+}
+
 // Left takes the word of a worker that it ends.
 func (r *Runner) Left(id workload.WorkerID) {
 	r.mu.Lock()
@@ -172,7 +185,7 @@
 }
 
 func (r *Runner) pace(ctx context.Context, l *life, p paced) {
-	_, err := r.deps.Control.Pace(ctx, l.worker.ID, p.run, p.pace, r.cfg.Token)
+	_, err := r.deps.Control.Pace(ctx, l.id, p.run, p.pace, r.cfg.Token)
 	r.mu.Lock()
 	r.counters.Paces++
 	r.mu.Unlock()
--- a/cmd/machine/agent.go
+++ b/cmd/machine/agent.go
@@ -5,20 +5,12 @@
 	"fmt"
 	"io"
 	"net/rpc"
-	"time"
-
-	"github.com/rotisserie/eris"
 
 	"persimmonrock.example/agent/runner"
-	"persimmonrock.example/entry/scheduler"
-	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/platform/store"
 	"persimmonrock.example/platform/worker"
 )
 
-// registerRetry is the pause before an agent's registration is repeated.
-const registerRetry = 150 * time.Millisecond
-
 // RunAgent runs an agent with the settings of the machine until it is told to
 // stop, and returns the exit status.
 func RunAgent(ctx context.Context, stderr io.Writer) int {
@@ -45,12 +37,17 @@
 func (p *program) runAgent(ctx context.Context) error {
 	ctx, cancel := p.stopSignal(ctx)
 	defer cancel()
-	token, err := p.register(ctx, store.New(p.settings.StoreAddress))
+	registration := runner.Registration{
+		Store: store.New(p.settings.StoreAddress), Node: p.settings.Node, Address: p.peerAddress(), Log: p.log,
+	}
+	token, before, err := registration.Register(ctx)
 	if err != nil {
 		return err
 	}
-	r := runner.New(runner.Config{Token: token, MaxLease: p.settings.Bounds.MaxLease},
-		runner.Deps{Control: worker.NewControl(p.settings.WorkerAddress), Log: p.log, Now: sinceBoot})
+	r := runner.New(runner.Config{Token: token, MaxLease: p.settings.Bounds.MaxLease}, runner.Deps{
+		Control: worker.NewControl(p.settings.WorkerAddress), Log: p.log, Now: sinceBoot, Found: registration.Record,
+	})
+	r.Suggest(before)
 	if _, err := p.serveHTTP(p.settings.WorkerListen, worker.ReportHandler(reports{r})); err != nil {
 		return err
 	}
@@ -66,20 +63,3 @@
 	p.log.Info().Msg("agent stops")
 	return nil
 }
-
-// register writes the agent's row. The version that the store gives the row
-// is the agent's token: higher than that of every earlier process.
-func (p *program) register(ctx context.Context, rows rowstore.Store) (uint64, error) {
-	value := scheduler.EncodeAgent(scheduler.AgentRow{Address: p.peerAddress(), DataCentre: p.settings.DataCentre})
-	for {
-		stamp, err := rows.Apply(ctx, rowstore.Txn{Puts: []rowstore.Put{{Key: scheduler.AgentKey(p.settings.Node), Value: value}}})
-		if err == nil {
-			return stamp.Version, nil
-		}
-		if ctx.Err() != nil {
-			return 0, eris.Wrap(err, "register")
-		}
-		p.log.Warn().Err(err).Msg("not registered yet")
-		time.Sleep(registerRetry)
-	}
-}
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -16,6 +16,7 @@
 	"persimmonrock.example/platform/front"
 	"persimmonrock.example/platform/operator"
 	"persimmonrock.example/platform/store"
+	"persimmonrock.example/wire/dispatch"
 )
 
 const (
@@ -47,12 +48,12 @@
 func (p *program) runEntry(ctx context.Context) error {
 	ctx, cancel := p.stopSignal(ctx)
 	defer cancel()
-	rows := relay.New(store.New(p.settings.StoreAddress), p.peerAddress(), p.log)
+	rows := relay.New(store.New(p.settings.StoreAddress), p.peerAddress(), dispatch.NewLink, p.log)
 	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig}, p.log, sinceBoot)
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(),
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
-	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Counters: &scheduler.Counters{}})
+	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Link: dispatch.NewLink, Counters: &scheduler.Counters{}})
 	service := intake.New(rows, config, elector, intake.NewStoreClock(sinceBoot), p.log)
 	server := rpc.NewServer()
 	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -97,7 +97,7 @@
 		Conds: []rowstore.Cond{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: value}},
 	})
 	s.log.Info().Str("job", string(j.ID)).Str("queue", q.Name).Str("outcome", result.String()).Dur("took", time.Since(begun)).
-		Uint64("config", s.config.Current().Version).Int("steps", len(j.Steps)).Msg("job handed in")
+		Uint64("config", s.configVersion()).Int("steps", len(j.Steps)).Msg("job handed in")
 	switch result {
 	case stored:
 		s.Counters.Accepted.Add(1)
@@ -111,6 +111,13 @@
 	return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
 }
 
+func (s *Service) configVersion() uint64 {
+	if c := s.config.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // write applies a write whose condition is the absence of its row. It is
 // repeated until its outcome is known: a write without an answer may take
 // effect seconds later, and only a repeat under the same condition settles
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -47,6 +47,7 @@
 	direct rowstore.Store
 	log    zerolog.Logger
 	own    string
+	link   func(address string) *dispatch.Link
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -64,8 +65,9 @@
 var _ rowstore.Store = (*Store)(nil)
 
 // New returns a store that uses direct first. address is this entry's own.
-func New(direct rowstore.Store, address string, log zerolog.Logger) *Store {
-	return &Store{direct: direct, own: address, log: log, peers: map[string]*peer{}}
+// link makes the link to another entry.
+func New(direct rowstore.Store, address string, link func(address string) *dispatch.Link, log zerolog.Logger) *Store {
+	return &Store{direct: direct, own: address, log: log, link: link, peers: map[string]*peer{}}
 }
 
 // Relayed counts the calls that other entries made for this one.
@@ -120,7 +122,7 @@
 		}
 		seen[e.Address] = true
 		if s.peers[e.Address] == nil {
-			s.peers[e.Address] = &peer{link: dispatch.NewLink(e.Address)}
+			s.peers[e.Address] = &peer{link: s.link(e.Address)}
 		}
 	}
 	for address, p := range s.peers {
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -131,7 +131,7 @@
 		if e.link != nil {
 			e.link.Close()
 		}
-		e.link = dispatch.NewLink(lease.Address)
+		e.link = e.deps.Link(lease.Address)
 	}
 	e.leader, e.version = lease, version
 }
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -51,7 +51,7 @@
 func (t *Term) newLink(node, address string) *agentLink {
 	ctx, cancel := context.WithCancel(t.ctx)
 	l := &agentLink{
-		node: node, link: dispatch.NewLink(address), cancel: cancel, term: t, nudged: make(chan struct{}, 1), outbox: make(chan struct{}, 1),
+		node: node, link: t.deps.Link(address), cancel: cancel, term: t, nudged: make(chan struct{}, 1), outbox: make(chan struct{}, 1),
 		starts: map[workload.RunID]dispatch.StartOrder{}, stops: map[workload.RunID]bool{},
 	}
 	go l.watchLoop(ctx)
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -7,6 +7,7 @@
 
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
 )
 
 const (
@@ -193,9 +194,9 @@
 		var at rowstore.Stamp
 		var err error
 		if ok {
-			rows, at, err = t.deps.Store.Feed(t.ctx, AgentsTable, after, agentsWait)
+			rows, at, err = t.deps.Store.Feed(t.ctx, dispatch.AgentsTable, after, agentsWait)
 		} else {
-			rows, at, err = rowstore.ListAll(t.ctx, t.deps.Store, AgentsTable, agentsPart)
+			rows, at, err = rowstore.ListAll(t.ctx, t.deps.Store, dispatch.AgentsTable, dispatch.AgentsPart)
 		}
 		if err != nil {
 			ok = ok && !errors.Is(err, rowstore.ErrCompacted)
@@ -215,8 +216,8 @@
 		if row.Deleted {
 			continue
 		}
-		var a AgentRow
-		if err := decode(row, &a); err != nil {
+		a, err := dispatch.DecodeAgentRow(row)
+		if err != nil {
 			t.deps.Log.Error().Err(err).Msg("agent can't be read")
 			continue
 		}
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -22,10 +22,6 @@
 	progressTable = "progress"
 	leaseTable    = "scheduler"
 	schedulerPart = "s"
-	// AgentsTable holds one row an agent: where it can be called. The row's
-	// version is the agent's fencing token.
-	AgentsTable = "agents"
-	agentsPart  = "a"
 )
 
 // jobParts spreads submissions: one part takes 150 transactions a second.
@@ -51,11 +47,6 @@
 	return rowstore.Key{Table: progressTable, Part: schedulerPart, Key: string(id)}
 }
 
-// AgentKey addresses the row of an agent.
-func AgentKey(node string) rowstore.Key {
-	return rowstore.Key{Table: AgentsTable, Part: agentsPart, Key: node}
-}
-
 func jobPart(id workload.JobID) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // a hash never fails
@@ -68,12 +59,6 @@
 	return workload.JobID(base), cancel
 }
 
-// AgentRow is where an agent can be called.
-type AgentRow struct {
-	Address    string `json:"a"`
-	DataCentre string `json:"d"`
-}
-
 // leaseRow is the scheduler's lease. Each transaction of the scheduler
 // renews it under the condition of its version, which makes the row the fence
 // of an earlier scheduler, the heartbeat, and the proof of whether a
@@ -152,6 +137,3 @@
 	err := decode(row, &p)
 	return p.State, err
 }
-
-// EncodeAgent gives the row of an agent.
-func EncodeAgent(a AgentRow) []byte { return encode(a) }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -14,6 +14,7 @@
 
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
 )
 
 // Config is what a scheduler is told.
@@ -36,6 +37,8 @@
 	Now func() time.Duration
 	// Config returns the configuration in force, or nil.
 	Config func() *workload.Config
+	// Link makes the link to the process at an address.
+	Link func(address string) *dispatch.Link
 	// Counters collects figures over all terms of the process.
 	Counters *Counters
 }
--- /dev/null
+++ b/infra/rowstore/memstore/memstore.go
@@ -0,0 +1,277 @@
+// Package memstore is a rowstore.Store in memory, with the faults that the
+// users' store has: it can be down, turn single clients away, be slow, lose
+// answers, apply writes late and forget its history.
+package memstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+)
+
+// Fault is what happens to the calls of one client.
+type Fault uint8
+
+// The faults of a client.
+const (
+	// Healthy calls are served.
+	Healthy Fault = iota
+	// Refused calls are turned away at once.
+	Refused
+	// Silent calls get no answer and have no effect.
+	Silent
+)
+
+const (
+	// txnTime and answerTime are those of the users' store.
+	txnTime    = 8 * time.Millisecond
+	answerTime = 4 * time.Millisecond
+	// silence is how long a client waits for an answer that never comes.
+	silence = 1500 * time.Millisecond
+	// latest is the longest delay of a write that is applied late.
+	latest = 6 * time.Second
+)
+
+// Store is the rows and their history. All state is under one lock.
+type Store struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	began   time.Time
+	version uint64
+	rows    map[rowstore.Key]rowstore.Row
+	history []rowstore.Row
+	// horizon is the oldest version from which a feed can go on.
+	horizon uint64
+	changed chan struct{}
+	faults  map[string]Fault
+	all     Fault
+	slow    float64
+	lost    float64
+	late    bool
+
+	reads, writes int
+}
+
+// New returns an empty store whose luck follows seed.
+func New(seed uint64) *Store {
+	return &Store{
+		rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), rows: map[rowstore.Key]rowstore.Row{},
+		changed: make(chan struct{}), faults: map[string]Fault{}, slow: 1,
+	}
+}
+
+// SetFault sets what happens to the calls of client; empty means all clients.
+func (s *Store) SetFault(client string, f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if client == "" {
+		s.all = f
+		return
+	}
+	s.faults[client] = f
+}
+
+// SetSlow makes every answer take x times as long.
+func (s *Store) SetSlow(x float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = x
+}
+
+// SetLost loses the answers of a share of the writes; with late, those are
+// applied seconds later if their conditions still hold.
+func (s *Store) SetLost(share float64, late bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost, s.late = share, late
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.horizon = s.version
+}
+
+// Calls returns the numbers of reads and writes so far.
+func (s *Store) Calls() (reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+// Client returns the store as the named client sees it.
+func (s *Store) Client(name string) rowstore.Store { return &client{store: s, name: name} }
+
+type client struct {
+	store *Store
+	name  string
+}
+
+// enter counts a call, waits its time and reports a fault.
+func (c *client) enter(ctx context.Context, took time.Duration, write bool) error {
+	s := c.store
+	s.mu.Lock()
+	if write {
+		s.writes++
+	} else {
+		s.reads++
+	}
+	fault := max(s.all, s.faults[c.name])
+	took = time.Duration(float64(took) * s.slow)
+	s.mu.Unlock()
+	switch fault {
+	case Refused:
+		pause(ctx, answerTime)
+		return rowstore.ErrUnavailable
+	case Silent:
+		pause(ctx, silence)
+		return rowstore.ErrUnknown
+	}
+	if !pause(ctx, took) {
+		return rowstore.ErrUnknown
+	}
+	return nil
+}
+
+// Apply implements rowstore.Store.
+func (c *client) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
+	if err := c.enter(ctx, answerTime+txnTime, true); err != nil {
+		return rowstore.Stamp{}, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost > 0 && s.rng.Float64() < s.lost {
+		if s.late {
+			delay := time.Second + time.Duration(s.rng.Float64()*float64(latest-time.Second))
+			time.AfterFunc(delay, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				_, _ = s.apply(t) // its client has long given up
+			})
+		} else {
+			_, _ = s.apply(t) // applied, and the answer is lost
+		}
+		return rowstore.Stamp{}, rowstore.ErrUnknown
+	}
+	return s.apply(t)
+}
+
+func (s *Store) apply(t rowstore.Txn) (rowstore.Stamp, error) {
+	var now []rowstore.Row
+	holds := true
+	for _, cond := range t.Conds {
+		row, ok := s.rows[cond.Key]
+		if ok {
+			now = append(now, row)
+		}
+		holds = holds && row.Version == cond.Version
+	}
+	if !holds {
+		return rowstore.Stamp{}, &rowstore.ConflictError{Rows: now}
+	}
+	s.version++
+	for _, p := range t.Puts {
+		s.put(rowstore.Row{Key: p.Key, Value: append([]byte(nil), p.Value...), Version: s.version})
+	}
+	for _, k := range t.Deletes {
+		delete(s.rows, k)
+		s.history = append(s.history, rowstore.Row{Key: k, Version: s.version, Deleted: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.stamp(), nil
+}
+
+func (s *Store) put(r rowstore.Row) {
+	s.rows[r.Key] = r
+	s.history = append(s.history, r)
+}
+
+func (s *Store) stamp() rowstore.Stamp {
+	return rowstore.Stamp{Version: s.version, Now: time.Since(s.began) + time.Millisecond}
+}
+
+// List implements rowstore.Store.
+func (c *client) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
+	if err := c.enter(ctx, answerTime, false); err != nil {
+		return nil, false, rowstore.Stamp{}, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []rowstore.Row
+	for k, r := range s.rows {
+		if k.Table == table && k.Part == part && k.Key >= from && (to == "" || k.Key < to) {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key.Key < rows[j].Key.Key })
+	more := len(rows) > pageRows
+	if more {
+		rows = rows[:pageRows]
+	}
+	return rows, more, s.stamp(), nil
+}
+
+// pageRows is the largest page of rows.
+const pageRows = 500
+
+// Feed implements rowstore.Store.
+func (c *client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
+	if err := c.enter(ctx, answerTime, false); err != nil {
+		return nil, rowstore.Stamp{}, err
+	}
+	s := c.store
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		if after < s.horizon {
+			s.mu.Unlock()
+			return nil, rowstore.Stamp{}, rowstore.ErrCompacted
+		}
+		rows := s.since(table, after)
+		stamp, changed := s.stamp(), s.changed
+		s.mu.Unlock()
+		if len(rows) > 0 {
+			return rows, stamp, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, stamp, nil
+		case <-ctx.Done():
+			return nil, rowstore.Stamp{}, rowstore.ErrUnknown
+		}
+	}
+}
+
+func (s *Store) since(table string, after uint64) []rowstore.Row {
+	var rows []rowstore.Row
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+	for _, r := range s.history[first:] {
+		if r.Key.Table == table {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// pause waits and reports whether it was not interrupted.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/sessions/machines/random_test.go
@@ -0,0 +1,170 @@
+package machines
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/structs/workload"
+)
+
+var (
+	seeds     = flag.Int("seeds", 24, "number of random days")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first random day")
+)
+
+// TestRandomDays plays days of jobs of all kinds while processes are killed
+// and stopped, machines are cut off, workers crash, fall silent and carry
+// orders out late, and the store is down, slow, loses answers and forgets.
+// After the faults all jobs have to end. Run more with -seeds.
+func TestRandomDays(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed) })
+	}
+}
+
+// day is one random day.
+type day struct {
+	w   *World
+	rng *rand.Rand
+	// faultRNG draws the faults.
+	faultRNG *rand.Rand
+	ids      []workload.JobID
+	last     []workload.JobID
+}
+
+func randomDay(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	outcome := func(r workload.RunID) Outcome {
+		luck := rand.New(rand.NewPCG(seed, uint64(r.Run)<<32|uint64(r.Task.Index)<<16|uint64(len(r.Task.Job))))
+		o := Outcome{For: time.Duration(100+luck.IntN(2500)) * time.Millisecond}
+		o.Fails = r.Task.Job[len(r.Task.Job)-1] == '7' || luck.IntN(25) == 0
+		return o
+	}
+	opt := Options{Seed: seed, Entries: 2 + rng.IntN(3), Machines: 2 + rng.IntN(4), Outcome: outcome, Capacity: workload.Resources{CPU: 10000, Memory: 40000}}
+	play(t, opt, func(t *testing.T, w *World, c *Client) {
+		d := &day{w: w, rng: rng}
+		// The story and its faults have each their own luck: they run at the
+		// same time.
+		d.faultRNG = rand.New(rand.NewPCG(seed, 101))
+		stop := make(chan bool)
+		ended := make(chan bool)
+		go func() {
+			d.faults(stop)
+			close(ended)
+		}()
+		for n := range 30 {
+			d.handIn(c, n)
+			time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+		}
+		close(stop)
+		<-ended
+		for _, id := range d.last {
+			c.Cancel(id)
+		}
+		if open := c.Await(append(d.ids, d.last...), 3*time.Minute); len(open) > 0 {
+			t.Errorf("not ended: %v", open)
+		}
+	})
+}
+
+func (d *day) handIn(c *Client, n int) {
+	j := job(n, 1+d.rng.IntN(6))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		s.Need.CPU = 500 + d.rng.IntN(3000)
+		s.Checkpointing = d.rng.IntN(2) == 0
+		if d.rng.IntN(4) == 0 {
+			s.Spread = 2
+		}
+		s.Fills = d.rng.IntN(4) == 0
+	}
+	// Spread limits a step to twice the machines at a time, not in all.
+	lasts := d.rng.IntN(8) == 0
+	if lasts {
+		j = lastingJob(n, 1+d.rng.IntN(3))
+	}
+	if !c.Submit(j, 6) {
+		return
+	}
+	if lasts {
+		d.last = append(d.last, j.ID)
+		return
+	}
+	d.ids = append(d.ids, j.ID)
+	if d.rng.IntN(6) == 0 {
+		c.Cancel(j.ID)
+	}
+}
+
+// faults lets one fault after the other happen, some of them together.
+func (d *day) faults(stop chan bool) {
+	done := make(chan bool)
+	running := 0
+	for open := true; open; {
+		select {
+		case <-stop:
+			open = false
+			continue
+		case <-time.After(time.Duration(d.faultRNG.IntN(3000)) * time.Millisecond):
+		}
+		f := d.fault()
+		running++
+		go func() {
+			f()
+			done <- true
+		}()
+	}
+	for range running {
+		<-done
+	}
+}
+
+// fault draws a fault; the function ends when it is over.
+func (d *day) fault() func() {
+	w := d.w
+	entry := w.Entries()[d.faultRNG.IntN(len(w.Entries()))]
+	agent := w.Agents()[d.faultRNG.IntN(len(w.Agents()))]
+	wait := time.Duration(500+d.faultRNG.IntN(9000)) * time.Millisecond
+	faults := []func(){
+		func() { entry.Kill(); time.Sleep(wait / 4); entry.Start() },
+		func() {
+			if l := w.Leader(); l != nil {
+				l.Kill()
+				time.Sleep(wait / 4)
+				l.Start()
+			}
+		},
+		func() { entry.Stop(); time.Sleep(wait / 8); entry.Start() },
+		func() { agent.Kill(); time.Sleep(wait / 2); agent.Start() },
+		func() { w.Cut(agent.Node, true); time.Sleep(wait); w.Cut(agent.Node, false) },
+		func() { w.Cut(entry.Node, true); time.Sleep(wait); w.Cut(entry.Node, false) },
+		func() { agent.Worker().Crash(); time.Sleep(wait / 2); agent.NewWorker() },
+		func() { o := agent.Worker(); o.SetDark(true); time.Sleep(wait); o.SetDark(false) },
+		func() { o := agent.Worker(); o.SetLate(0.3); time.Sleep(wait); o.SetLate(0) },
+		func() {
+			w.Store.SetFault("", memstore.Refused)
+			time.Sleep(wait / 2)
+			w.Store.SetFault("", memstore.Healthy)
+		},
+		func() {
+			w.Store.SetFault("", memstore.Silent)
+			time.Sleep(wait / 2)
+			w.Store.SetFault("", memstore.Healthy)
+		},
+		func() {
+			w.Store.SetFault(entry.Node, memstore.Refused)
+			time.Sleep(wait)
+			w.Store.SetFault(entry.Node, memstore.Healthy)
+		},
+		func() { w.Store.SetSlow(40); time.Sleep(wait); w.Store.SetSlow(1) },
+		func() { w.Store.SetLost(0.4, true); time.Sleep(wait); w.Store.SetLost(0, false) },
+		func() { w.Store.SetLost(0.3, false); time.Sleep(wait); w.Store.SetLost(0, false) },
+		func() { w.Store.Compact() },
+	}
+	return faults[d.faultRNG.IntN(len(faults))]
+}
--- /dev/null
+++ b/sessions/machines/rules.go
@@ -0,0 +1,289 @@
+package machines
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"persimmonrock.example/infra/workerctl"
+	"persimmonrock.example/structs/workload"
+)
+
+// Rules watches what the workers do and what clients are told, and keeps
+// what must never happen.
+type Rules struct {
+	mu      sync.Mutex
+	jobs    map[workload.JobID]*watched
+	broken  []string
+	cutAt   time.Time
+	Started int
+	Done    int
+}
+
+// watched is a job as clients and workers have seen it.
+type watched struct {
+	spec     workload.Job
+	accepted bool
+	// attempts counts the answered attempts to hand it in, refused those
+	// that were refused for certain.
+	attempts, refused int
+	started           bool
+	cancelled         time.Time
+	running           map[workload.TaskID]map[workload.RunID]*Worker
+	done              map[workload.TaskID]bool
+	// noted are the tasks of which a done end was noted.
+	noted map[workload.TaskID]bool
+	// failed are the runs that ended failed, true once that was noted;
+	// before holds, for each start, the runs that had failed before it.
+	failed map[workload.TaskID]map[int]bool
+	before map[workload.TaskID][][]int
+	// doneRuns are the runs that ended done, true if the task has started
+	// again since.
+	doneRuns map[workload.TaskID]map[int]bool
+	shown    workload.State
+}
+
+func newRules() *Rules { return &Rules{jobs: map[workload.JobID]*watched{}} }
+
+// Broken lists what must not have happened.
+func (r *Rules) Broken() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	broken := append([]string(nil), r.broken...)
+	for id, j := range r.jobs {
+		if j.started && j.attempts > 0 && j.refused == j.attempts {
+			broken = append(broken, fmt.Sprintf("job %s has started, and all attempts to hand it in were refused", id))
+		}
+	}
+	return broken
+}
+
+func (r *Rules) breach(format string, args ...any) {
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+func (r *Rules) handIn(spec workload.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[spec.ID] == nil {
+		r.jobs[spec.ID] = &watched{
+			spec: spec, running: map[workload.TaskID]map[workload.RunID]*Worker{}, done: map[workload.TaskID]bool{},
+			noted: map[workload.TaskID]bool{}, failed: map[workload.TaskID]map[int]bool{},
+			before: map[workload.TaskID][][]int{}, doneRuns: map[workload.TaskID]map[int]bool{},
+		}
+	}
+}
+
+// answered notes a client's answer: accepted, refused for certain, or
+// neither.
+func (r *Rules) answered(id workload.JobID, accepted, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	j.accepted = j.accepted || accepted
+	j.attempts++
+	if refused {
+		j.refused++
+	}
+}
+
+func (r *Rules) cancelled(id workload.JobID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j := r.jobs[id]; j.cancelled.IsZero() {
+		j.cancelled = time.Now()
+	}
+}
+
+// show notes a state that a client was shown.
+func (r *Rules) show(id workload.JobID, s workload.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	if j.shown.Final() && s != j.shown {
+		r.breach("job %s was shown as %s and then as %s", id, j.shown, s)
+	}
+	j.shown = s
+	if s != workload.Completed {
+		return
+	}
+	for si, step := range j.spec.Steps {
+		for i := range step.Count {
+			if t := (workload.TaskID{Job: id, Step: si, Index: i}); !j.done[t] {
+				r.breach("job %s is shown as completed and task %s has not ended so", id, t)
+				return
+			}
+		}
+	}
+}
+
+func (r *Rules) missing(id workload.JobID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[id].accepted {
+		r.breach("job %s was accepted and is not known", id)
+	}
+}
+
+const (
+	// cancelGrace is how long after a cancellation a start may still be seen.
+	cancelGrace = 3 * time.Second
+	// contact is how long a machine must have been reachable for that: an
+	// order that a cut held up may arrive when it heals.
+	contact = 3 * time.Second
+)
+
+// cut notes that a machine was cut off, or that a cut has healed.
+func (r *Rules) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutAt = time.Now()
+}
+
+func (r *Rules) started(w *Worker, x *working, o workerctl.StartOrder) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Started++
+	t := o.Run.Task
+	j := r.jobs[t.Job]
+	if j == nil || j.spec.Payload != o.Payload || t.Step >= len(j.spec.Steps) {
+		r.breach("%s started %s, which no client handed in", w, o.Run)
+		return
+	}
+	step := j.spec.Steps[t.Step]
+	j.started = true
+	for other, on := range j.running[t] {
+		if other != o.Run && !step.Copies {
+			r.breach("%s started %s while %s runs on %s", w, o.Run, other, on)
+		}
+	}
+	if j.noted[t] && !step.Copies {
+		r.breach("%s started %s after its end was noted", w, o.Run)
+	}
+	for run := range j.doneRuns[t] {
+		j.doneRuns[t][run] = true
+	}
+	for _, a := range step.After {
+		for i := range j.spec.Steps[a].Count {
+			if !j.done[workload.TaskID{Job: t.Job, Step: a, Index: i}] {
+				r.breach("%s started %s before step %d was done", w, o.Run, a)
+				break
+			}
+		}
+	}
+	var before []int
+	for run := range j.failed[t] {
+		before = append(before, run)
+	}
+	j.before[t] = append(j.before[t], before)
+	r.budget(j, t)
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelGrace && time.Since(r.cutAt) > contact {
+		r.breach("%s started %s %v after its job was cancelled", w, o.Run, time.Since(j.cancelled))
+	}
+	if j.running[t] == nil {
+		j.running[t] = map[workload.RunID]*Worker{}
+	}
+	j.running[t][o.Run] = w
+	r.room(w, x)
+}
+
+// room checks the worker's room with x among what runs. The worker's lock is
+// held.
+func (r *Rules) room(w *Worker, x *working) {
+	var sum workload.Resources
+	ofStep := 0
+	for _, y := range w.running {
+		j := r.jobs[y.run.Task.Job]
+		if j == nil || y.run.Task.Step >= len(j.spec.Steps) {
+			continue
+		}
+		sum = sum.Add(j.spec.Steps[y.run.Task.Step].Reserved())
+		if y.run.Task.Job == x.run.Task.Job && y.run.Task.Step == x.run.Task.Step {
+			ofStep++
+		}
+	}
+	if !sum.Fits(w.info.Capacity) {
+		r.breach("%s is over its capacity with %s: %+v", w, x.run, sum)
+	}
+	if n := r.jobs[x.run.Task.Job].spec.Steps[x.run.Task.Step].Spread; n > 0 && ofStep > n {
+		r.breach("%s runs %d tasks of the step of %s, more than %d", w, ofStep, x.run, n)
+	}
+}
+
+// lasting reports whether a run is one of a task that lasts.
+func (r *Rules) lasting(run workload.RunID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[run.Task.Job]
+	return j != nil && run.Task.Step < len(j.spec.Steps) && j.spec.Steps[run.Task.Step].Lasting
+}
+
+func (r *Rules) ended(w *Worker, e workload.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[e.Run.Task.Job]
+	if j == nil {
+		return
+	}
+	delete(j.running[e.Run.Task], e.Run)
+	switch e.Kind {
+	case workload.EndDone:
+		r.Done++
+		j.done[e.Run.Task] = true
+		if j.doneRuns[e.Run.Task] == nil {
+			j.doneRuns[e.Run.Task] = map[int]bool{}
+		}
+		j.doneRuns[e.Run.Task][e.Run.Run] = false
+	case workload.EndFailed:
+		if j.failed[e.Run.Task] == nil {
+			j.failed[e.Run.Task] = map[int]bool{}
+		}
+		j.failed[e.Run.Task][e.Run.Run] = false
+	}
+}
+
+// budget checks that no start came after as many noted failures as the queue
+// allows.
+func (r *Rules) budget(j *watched, t workload.TaskID) {
+	n := j.spec.Queue.MaxAttempts
+	if n == 0 || j.spec.Steps[t.Step].Lasting {
+		return
+	}
+	for _, before := range j.before[t] {
+		noted := 0
+		for _, run := range before {
+			if j.failed[t][run] {
+				noted++
+			}
+		}
+		if noted >= n {
+			r.breach("%s started after %d noted failures", t, noted)
+		}
+	}
+}
+
+// gone notes that a run ended with its worker.
+func (r *Rules) gone(_ *Worker, run workload.RunID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j := r.jobs[run.Task.Job]; j != nil {
+		delete(j.running[run.Task], run)
+	}
+}
+
+// noted notes that an agent has acknowledged an end.
+func (r *Rules) noted(e workload.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[e.Run.Task.Job]
+	if j != nil && e.Kind == workload.EndFailed {
+		j.failed[e.Run.Task][e.Run.Run] = true
+		r.budget(j, e.Run.Task)
+	}
+	if j != nil && e.Kind == workload.EndDone {
+		j.noted[e.Run.Task] = true
+		if j.doneRuns[e.Run.Task][e.Run.Run] && !j.spec.Steps[e.Run.Task.Step].Copies {
+			r.breach("the end of %s was noted after the task had started again", e.Run)
+		}
+	}
+}
--- /dev/null
+++ b/sessions/machines/world.go
@@ -0,0 +1,470 @@
+// Package machines is a stand-in of the users' machines in one process: their
+// store, their workers and the network between the programs, with the faults
+// that they have. It runs the code of entries and agents as it is, over
+// connections in memory, so that whole days of jobs can be played in the fake
+// time of testing/synctest. Rules watches what must never happen.
+package machines
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/agent/runner"
+	"persimmonrock.example/entry/intake"
+	"persimmonrock.example/entry/relay"
+	"persimmonrock.example/entry/scheduler"
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
+)
+
+// Options describe a world.
+type Options struct {
+	Seed     uint64
+	Entries  int
+	Machines int
+	// Capacity is that of each worker.
+	Capacity workload.Resources
+	// Outcome tells how runs behave.
+	Outcome func(workload.RunID) Outcome
+	// Log takes the programs' logs; nil drops them.
+	Log io.Writer
+}
+
+// World is a deployment.
+type World struct {
+	Store *memstore.Store
+	Rules *Rules
+	opt   Options
+	began time.Time
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	entries []*Entry
+	agents  []*Agent
+	servers map[string]*server
+	cut     map[string]bool
+	lives   int
+}
+
+// server is what listens at an address.
+type server struct {
+	rpc   *rpc.Server
+	conns map[net.Conn]bool
+}
+
+// Service is the service of all workers of a world.
+const Service = "svc"
+
+// dialSilence is how long a dial to a machine that is gone hangs.
+const dialSilence = 600 * time.Millisecond
+
+// heartbeat is the time between two reports of a worker.
+const heartbeat = 1100 * time.Millisecond
+
+// grant is the grant of the scheduler.
+const grant = 6 * time.Second
+
+// New returns a world whose programs run.
+func New(opt Options) *World {
+	w := &World{
+		Store: memstore.New(opt.Seed), Rules: newRules(), opt: opt, began: time.Now(), log: zerolog.Nop(),
+		servers: map[string]*server{}, cut: map[string]bool{},
+	}
+	if opt.Log != nil {
+		w.log = zerolog.New(opt.Log).With().Timestamp().Logger()
+	}
+	for i := range opt.Entries {
+		e := &Entry{world: w, Node: fmt.Sprintf("entry-%d", i)}
+		w.entries = append(w.entries, e)
+		e.Start()
+	}
+	for i := range opt.Machines {
+		a := &Agent{world: w, Node: fmt.Sprintf("machine-%d", i)}
+		w.agents = append(w.agents, a)
+		a.NewWorker()
+		a.Start()
+	}
+	return w
+}
+
+// Close ends all programs and workers.
+func (w *World) Close() {
+	for _, e := range w.entries {
+		e.Kill()
+	}
+	for _, a := range w.agents {
+		a.Kill()
+		a.Worker().Crash()
+	}
+	// What is still on its way ends within the longest time-out.
+	time.Sleep(time.Minute)
+}
+
+// Entries and Agents are the programs.
+func (w *World) Entries() []*Entry { return w.entries }
+
+// Agents returns the agents.
+func (w *World) Agents() []*Agent { return w.agents }
+
+// Leader returns the entry whose scheduler leads, or nil.
+func (w *World) Leader() *Entry {
+	for _, e := range w.entries {
+		if p := e.current(); p != nil && p.elector.Term() != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// now is a clock of the world.
+func (w *World) now() time.Duration { return time.Since(w.began) + time.Second }
+
+// Cut cuts a machine off from all others, or heals the cut.
+func (w *World) Cut(node string, cut bool) {
+	w.Rules.cut()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[node] = cut
+}
+
+func (w *World) isCut(nodes ...string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range nodes {
+		if w.cut[n] {
+			return true
+		}
+	}
+	return false
+}
+
+var errNoRoute = errors.New("no route")
+
+// link is how the programs of node reach an address.
+func (w *World) link(node string) func(string) *dispatch.Link {
+	return func(address string) *dispatch.Link {
+		return dispatch.NewLinkOver(address, func(context.Context) (net.Conn, error) {
+			return w.dial(node, address)
+		})
+	}
+}
+
+func (w *World) dial(from, to string) (net.Conn, error) {
+	if w.isCut(from, to) {
+		time.Sleep(dialSilence)
+		return nil, errNoRoute
+	}
+	time.Sleep(time.Millisecond)
+	w.mu.Lock()
+	s := w.servers[to]
+	w.mu.Unlock()
+	if s == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := newPipe(func() bool { return w.isCut(from, to) })
+	w.mu.Lock()
+	s.conns[far] = true
+	w.mu.Unlock()
+	go func() {
+		s.rpc.ServeConn(far)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(s.conns, far)
+	}()
+	return near, nil
+}
+
+func (w *World) listen(address string, s *rpc.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers[address] = &server{rpc: s, conns: map[net.Conn]bool{}}
+}
+
+func (w *World) unlisten(address string) {
+	w.mu.Lock()
+	s := w.servers[address]
+	delete(w.servers, address)
+	var conns []net.Conn
+	if s != nil {
+		for c := range s.conns {
+			conns = append(conns, c)
+		}
+	}
+	w.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close() // a pipe always closes
+	}
+}
+
+// Entry is an entry's machine.
+type Entry struct {
+	world *World
+	Node  string
+
+	mu      sync.Mutex
+	process *entryProcess
+	count   int
+}
+
+type entryProcess struct {
+	cancel  context.CancelFunc
+	service *intake.Service
+	elector *scheduler.Elector
+	done    chan struct{}
+}
+
+// noConfig is a source of configuration that is never written: the tests set
+// queues by themselves.
+var noConfig = intake.ConfigSource{Key: rowstore.Key{Table: "op", Key: "config"}, Parse: func([]byte) (*workload.Config, error) {
+	return nil, errors.New("no configuration")
+}}
+
+// Start starts a process, unless one runs.
+func (e *Entry) Start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.process != nil {
+		return
+	}
+	e.count++
+	w := e.world
+	ctx, cancel := context.WithCancel(context.Background())
+	log := w.log.With().Str("process", e.Node).Int("start", e.count).Logger()
+	direct := &cutStore{Store: w.Store.Client(e.Node), world: w, node: e.Node}
+	rows := relay.New(direct, e.Node, w.link(e.Node), log)
+	config := intake.NewFollower(rows, noConfig, log, w.now)
+	elector := scheduler.NewElector(scheduler.Config{
+		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Grant: grant, StatusFor: 2 * time.Minute,
+	}, scheduler.Deps{
+		Store: rows, Log: log, Now: w.now, Config: config.Current, Link: w.link(e.Node), Counters: &scheduler.Counters{},
+	})
+	service := intake.New(rows, config, elector, intake.NewStoreClock(w.now), log)
+	server := rpc.NewServer()
+	must(server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}))
+	must(server.RegisterName("Relay", rows.Service()))
+	w.listen(e.Node, server)
+	p := &entryProcess{cancel: cancel, service: service, elector: elector, done: make(chan struct{})}
+	e.process = p
+	go rows.Run(ctx, e.Node)
+	go func() {
+		defer close(p.done)
+		elector.Run(ctx)
+	}()
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Kill ends the process at once: what it has under way at the store is lost
+// to it.
+func (e *Entry) Kill() {
+	e.mu.Lock()
+	p := e.process
+	e.process = nil
+	e.mu.Unlock()
+	if p == nil {
+		return
+	}
+	e.world.unlisten(e.Node)
+	e.world.Store.SetFault(e.Node, memstore.Silent)
+	p.cancel()
+	<-p.done
+	e.world.Store.SetFault(e.Node, memstore.Healthy)
+}
+
+// Stop ends the process in an orderly way.
+func (e *Entry) Stop() {
+	e.mu.Lock()
+	p := e.process
+	e.process = nil
+	e.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.cancel()
+	<-p.done
+	e.world.unlisten(e.Node)
+}
+
+func (e *Entry) current() *entryProcess {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.process
+}
+
+// Service returns the entry's service for clients, or nil while it is down.
+func (e *Entry) Service() *intake.Service {
+	if p := e.current(); p != nil {
+		return p.service
+	}
+	return nil
+}
+
+// cutStore is the store as seen from a machine that may be cut off.
+type cutStore struct {
+	rowstore.Store
+	world *World
+	node  string
+}
+
+func (c *cutStore) away(ctx context.Context) bool {
+	if !c.world.isCut(c.node) {
+		return false
+	}
+	pause(ctx, dialSilence)
+	return true
+}
+
+func (c *cutStore) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
+	if c.away(ctx) {
+		return rowstore.Stamp{}, rowstore.ErrUnavailable
+	}
+	return c.Store.Apply(ctx, t)
+}
+
+func (c *cutStore) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
+	if c.away(ctx) {
+		return nil, false, rowstore.Stamp{}, rowstore.ErrUnavailable
+	}
+	return c.Store.List(ctx, table, part, from, to)
+}
+
+func (c *cutStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
+	if c.away(ctx) {
+		return nil, rowstore.Stamp{}, rowstore.ErrUnavailable
+	}
+	return c.Store.Feed(ctx, table, after, wait)
+}
+
+// Agent is the machine of a worker.
+type Agent struct {
+	world *World
+	Node  string
+
+	mu       sync.Mutex
+	worker   *Worker
+	sequence uint64
+	runner   *runner.Runner
+	cancel   context.CancelFunc
+	control  *control
+}
+
+// Worker is the life of the worker that is there now.
+func (a *Agent) Worker() *Worker {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.worker
+}
+
+// NewWorker begins a new life of the worker; an earlier one has crashed.
+func (a *Agent) NewWorker() {
+	w := a.world
+	w.mu.Lock()
+	w.lives++
+	life := w.lives
+	w.mu.Unlock()
+	info := workload.Worker{
+		ID: workload.WorkerID(fmt.Sprintf("w-%d", life)), Service: Service, Labels: []string{"a", "r1"}, Capacity: w.opt.Capacity,
+	}
+	worker := newWorker(info, w.Rules, w.opt.Outcome, w.opt.Seed+uint64(life))
+	a.mu.Lock()
+	before := a.worker
+	a.worker = worker
+	a.mu.Unlock()
+	if before != nil {
+		before.Crash()
+	}
+	go a.report(worker)
+}
+
+// report sends the reports of one life.
+func (a *Agent) report(worker *Worker) {
+	for n := uint64(1); ; n++ {
+		worker.mu.Lock()
+		alive, dark, info := worker.alive, worker.dark, worker.info
+		worker.mu.Unlock()
+		if !alive {
+			return
+		}
+		a.mu.Lock()
+		r := a.runner
+		a.mu.Unlock()
+		if r != nil && !dark {
+			r.Reported(info, n)
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// Start starts the agent's process, unless one runs.
+func (a *Agent) Start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.control = &control{agent: a}
+	go a.run(ctx, a.control)
+}
+
+func (a *Agent) run(ctx context.Context, c *control) {
+	w := a.world
+	log := w.log.With().Str("process", a.Node).Logger()
+	registration := runner.Registration{
+		Store: &cutStore{Store: w.Store.Client(a.Node), world: w, node: a.Node}, Node: a.Node, Address: a.Node, Log: log,
+	}
+	token, before, err := registration.Register(ctx)
+	if err != nil {
+		return
+	}
+	r := runner.New(runner.Config{Token: token, MaxLease: longestLease}, runner.Deps{Control: c, Log: log, Now: w.now, Found: registration.Record})
+	r.Suggest(before)
+	server := rpc.NewServer()
+	must(server.RegisterName("Agent", runner.NewRPC(ctx, r)))
+	a.mu.Lock()
+	if ctx.Err() == nil {
+		a.runner = r
+		w.listen(a.Node, server)
+	}
+	a.mu.Unlock()
+	r.Run(ctx)
+}
+
+// Kill ends the agent's process at once. Its worker lives on.
+func (a *Agent) Kill() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancel == nil {
+		return
+	}
+	a.cancel()
+	a.control.kill()
+	a.cancel, a.runner = nil, nil
+	a.world.unlisten(a.Node)
+}
+
+// Counters returns the figures of the agent that runs.
+func (a *Agent) Counters() runner.Counters {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runner == nil {
+		return runner.Counters{}
+	}
+	return a.runner.Counters()
+}
--- a/structs/workload/task.go
+++ b/structs/workload/task.go
@@ -79,12 +79,12 @@
 
 // Worker is what a worker says of itself.
 type Worker struct {
-	ID         WorkerID
-	Service    string
-	DataCentre string
-	Labels     []string
-	Capacity   Resources
-	Draining   bool
+	ID         WorkerID  `json:"i"`
+	Service    string    `json:"s"`
+	DataCentre string    `json:"d,omitempty"`
+	Labels     []string  `json:"l,omitempty"`
+	Capacity   Resources `json:"r"`
+	Draining   bool      `json:"x,omitempty"`
 }
 
 // HasLabel reports whether the worker carries the label; each worker carries
--- a/wire/dispatch/link.go
+++ b/wire/dispatch/link.go
@@ -58,6 +58,11 @@
 	}}
 }
 
+// NewLinkOver returns a link whose connections dial makes.
+func NewLinkOver(address string, dial func(ctx context.Context) (net.Conn, error)) *Link {
+	return &Link{address: address, dial: dial}
+}
+
 // Address is the peer's.
 func (l *Link) Address() string { return l.address }
 
