--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -62,10 +62,7 @@
 	candidateSeq uint64
 	former       []workload.WorkerID
 	// kick wakes the holding loop.
-	kick chan struct{}
-	// refusedReports counts reports of workers that could not be read.
-	refusedReports int
-
+	kick     chan struct{}
 	counters Counters
 
 	// sampleEvery is the time between two samples; sample is the latest that
--- /dev/null
+++ b/decide/order/order_test.go
@@ -0,0 +1,102 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+func queue(priority int) workload.Queue {
+	return workload.Queue{Priority: priority, Stretch: 2, TargetLatency: time.Second}
+}
+
+func TestChainIsTheLongestWayThroughTheSteps(t *testing.T) {
+	steps := []workload.Step{
+		{Estimate: time.Second}, {Estimate: 3 * time.Second}, {Estimate: time.Second, After: []int{0}}, {Estimate: time.Second, After: []int{0, 1}},
+	}
+	none := func(int) bool { return false }
+	if got, want := Chain(steps, none), time.Duration(uneven*float64(4*time.Second)); got.Round(time.Millisecond) != want.Round(time.Millisecond) {
+		t.Errorf("chain %v, want %v", got, want)
+	}
+	done := func(i int) bool { return i < 2 }
+	if got, want := Chain(steps, done), time.Duration(uneven*float64(time.Second)); got != want {
+		t.Errorf("chain of what is left %v, want %v", got, want)
+	}
+}
+
+func TestClasses(t *testing.T) {
+	// The objective of four seconds of work is 9 s.
+	cases := []struct {
+		now, left time.Duration
+		want      Class
+	}{
+		{0, 4 * time.Second, InTime},
+		{5 * time.Second, 4 * time.Second, InTime},
+		{6 * time.Second, 4 * time.Second, Late},
+		{23 * time.Second, 4 * time.Second, Late},
+		{24 * time.Second, 4 * time.Second, Overdue},
+		{8 * time.Second, time.Second, InTime},
+	}
+	for _, c := range cases {
+		if got := Rank(queue(0), 0, c.now, 4*time.Second, c.left).Class; got != c.want {
+			t.Errorf("now %v, left %v: class %d, want %d", c.now, c.left, got, c.want)
+		}
+	}
+}
+
+func TestOrder(t *testing.T) {
+	work := 4 * time.Second
+	urgent := Rank(queue(0), 10*time.Second, 10*time.Second, work, work)
+	early := Rank(queue(2), 2*time.Second, 5*time.Second, work, work)
+	late := Rank(queue(2), 0, 20*time.Second, work, work)
+	lateUrgent := Rank(queue(0), 0, 60*time.Second, work, work)
+	overdue := Rank(queue(2), 0, 60*time.Second, work, work)
+	sorted := []Key{urgent, lateUrgent, early, late, overdue}
+	for i := range sorted {
+		for k := range sorted {
+			if sorted[i].Less(sorted[k]) != (i < k) {
+				t.Errorf("key %d before key %d: %t", i, k, sorted[i].Less(sorted[k]))
+			}
+		}
+	}
+}
+
+// A minute with one and a half times the work that there is room for, in jobs
+// of 4 s on one place. In the order of acceptance the queue grows until all
+// end late; in this order those that can still end in time do.
+func TestHeavyMinuteServesWhatCanStillEndInTime(t *testing.T) {
+	const jobs, every, work = 15, 2666 * time.Millisecond, 4 * time.Second
+	served := func(ranked bool) int {
+		inTime := 0
+		var waiting []time.Duration
+		now, next := time.Duration(0), 0
+		for done := 0; done < jobs; {
+			for ; next < jobs && time.Duration(next)*every <= now; next++ {
+				waiting = append(waiting, time.Duration(next)*every)
+			}
+			if len(waiting) == 0 {
+				now = time.Duration(next) * every
+				continue
+			}
+			best := 0
+			for i := range waiting {
+				a, b := Rank(queue(0), waiting[i], now, work, work), Rank(queue(0), waiting[best], now, work, work)
+				if ranked && a.Less(b) {
+					best = i
+				}
+			}
+			accepted := waiting[best]
+			waiting = append(waiting[:best], waiting[best+1:]...)
+			now += work
+			done++
+			if now <= accepted+Objective(queue(0), work) {
+				inTime++
+			}
+		}
+		return inTime
+	}
+	if plain, ranked := served(false), served(true); ranked < plain+3 {
+		t.Errorf("in time: %d in the order of acceptance, %d ranked", plain, ranked)
+	}
+}
--- /dev/null
+++ b/decide/pressure/pressure_test.go
@@ -0,0 +1,95 @@
+package pressure
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// truth is the weights of a made-up world: f1 presses on a, f2 on b.
+var truth = map[Pair]float64{{"a", "f1"}: 1.8, {"b", "f2"}: 1.2, {"a", "f3"}: 0, {"b", "f3"}: 0}
+
+func sample(rng *rand.Rand, serving string) Sample {
+	s := Sample{Serving: serving, Used: map[string]float64{}}
+	for _, f := range []string{"f1", "f2", "f3"} {
+		if rng.IntN(2) == 0 {
+			u := 0.2 * rng.Float64()
+			s.Used[f] = u
+			s.Extra += u * truth[Pair{serving, f}]
+		}
+	}
+	s.Extra += 0.03 * rng.NormFloat64()
+	return s
+}
+
+func TestWeightsAreLearnt(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var m Model
+	for range 120 {
+		m.Observe(sample(rng, "a"))
+		m.Observe(sample(rng, "b"))
+	}
+	for _, serving := range []string{"a", "b"} {
+		for _, f := range []string{"f1", "f2", "f3"} {
+			w := m.Weight(Pair{serving, f})
+			if !w.Known || math.Abs(w.Value-truth[Pair{serving, f}]) > 0.3 {
+				t.Errorf("%s beside %s: %+v, true %v", f, serving, w, truth[Pair{serving, f}])
+			}
+		}
+	}
+	if w := m.Weight(Pair{"a", "new"}); w.Known || w.Value != priorWeight {
+		t.Errorf("an unknown pair has %+v", w)
+	}
+}
+
+// A run of odd samples must not drive a weight out of its range.
+func TestWeightsStayInRange(t *testing.T) {
+	var m Model
+	for range 100 {
+		m.Observe(Sample{Serving: "a", Extra: 1e9, Used: map[string]float64{"f": 0.001}})
+		m.Observe(Sample{Serving: "b", Extra: -1e9, Used: map[string]float64{"f": 0.5}})
+	}
+	if high, low := m.Weight(Pair{"a", "f"}).Value, m.Weight(Pair{"b", "f"}).Value; high > highestWeight || low < 0 {
+		t.Errorf("weights %v and %v", high, low)
+	}
+}
+
+func known(values map[Pair]float64) func(Pair) Weight {
+	return func(p Pair) Weight {
+		if v, ok := values[p]; ok {
+			return Weight{Value: v, Known: true}
+		}
+		return Weight{Value: priorWeight}
+	}
+}
+
+func TestPace(t *testing.T) {
+	weights := known(map[Pair]float64{{"a", "presses"}: 2, {"a", "harmless"}: 0.05})
+	calm := Serving{Image: "a", Tail: 5, Target: 18, Base: 4}
+	near := Serving{Image: "a", Tail: 15, Target: 18, Base: 4}
+	over := Serving{Image: "a", Tail: 30, Target: 18, Base: 4, Over: 2 * overFor}
+	cases := []struct {
+		name    string
+		serving []Serving
+		filling Filling
+		low     float64
+		high    float64
+	}{
+		{"nothing serves", nil, Filling{Image: "presses", Wanted: 0.5, Pace: 1}, 1, 1},
+		{"harmless beside a tail near its target", []Serving{near}, Filling{Image: "harmless", Wanted: 0.5, Pace: 1}, 1, 1},
+		{"harmless beside a tail over its target", []Serving{over}, Filling{Image: "harmless", Wanted: 0.5, Pace: 1}, 1, 1},
+		{"presses on a calm task", []Serving{calm}, Filling{Image: "presses", Wanted: 0.1, Pace: 1}, 1, 1},
+		{"presses much on a calm task", []Serving{calm}, Filling{Image: "presses", Wanted: 0.5, Pace: 1}, 0.3, 0.6},
+		{"presses on a task near its target", []Serving{near}, Filling{Image: "presses", Wanted: 0.5, Pace: 1}, 0, 0},
+		{"presses on a task over its target", []Serving{over}, Filling{Image: "presses", Wanted: 0.1, Pace: 0.1}, 0, 0},
+		{"unknown beside a calm task", []Serving{calm}, Filling{Image: "new", Wanted: 0.3, Pace: 1}, 1, 1},
+		{"unknown beside a task near its target", []Serving{near}, Filling{Image: "new", Wanted: 0.3, Pace: 1}, 0, 0},
+		{"rises step by step", []Serving{calm}, Filling{Image: "harmless", Wanted: 0.3, Pace: 0.2}, 0.2 + rise, 0.2 + rise},
+	}
+	for _, c := range cases {
+		got := Pace(c.serving, []Filling{c.filling}, weights)[0]
+		if got < c.low-1e-9 || got > c.high+1e-9 {
+			t.Errorf("%s: pace %.2f, want %.2f to %.2f", c.name, got, c.low, c.high)
+		}
+	}
+}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -279,7 +279,7 @@
 	case j.state.Final():
 		j.release(s, k, "")
 	case e.Kind == workload.EndDone && s.spec.Gang:
-		t.finishGang(j, s, e.Run.Run)
+		t.finishGang(j, s, e.Run)
 	case e.Kind == workload.EndDone && !s.spec.Lasting:
 		j.finish(s, k)
 	case e.Kind == workload.EndFailed:
@@ -317,18 +317,18 @@
 }
 
 // finishGang takes the end of one member for the end of all.
-func (t *Term) finishGang(j *job, s *step, run int) {
+func (t *Term) finishGang(j *job, s *step, r workload.RunID) {
 	for i := range s.tasks {
 		k := &s.tasks[i]
-		if k.state == taskDone {
+		switch {
+		case k.state == taskDone:
 			continue
-		}
-		if k.state == taskPlaced {
-			if w := t.workers[k.worker]; w != nil {
-				w.removeTask(j.spec.ID, s, i, run)
-			}
-		} else {
+		case k.state == taskWaiting:
 			s.waiting--
+		case t.workers[k.worker] != nil:
+			member := r.Task
+			member.Index = i
+			t.workers[k.worker].remove(workload.RunID{Task: member, Run: k.run})
 		}
 		k.state = taskDone
 		s.done++
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -110,15 +110,6 @@
 	w.remove(r)
 }
 
-func (w *worker) removeTask(id workload.JobID, s *step, index, run int) {
-	for r := range w.runs {
-		if r.Task.Job == id && r.Task.Index == index && r.Run == run && &s.tasks[index] != nil {
-			w.remove(r)
-			return
-		}
-	}
-}
-
 // candidate is the worker as the placement sees it.
 func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
 	return placement.Candidate{
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -355,12 +355,11 @@
 	world *World
 	Node  string
 
-	mu       sync.Mutex
-	worker   *Worker
-	sequence uint64
-	runner   *runner.Runner
-	cancel   context.CancelFunc
-	control  *control
+	mu      sync.Mutex
+	worker  *Worker
+	runner  *runner.Runner
+	cancel  context.CancelFunc
+	control *control
 }
 
 // Worker is the life of the worker that is there now.
