--- a/cmd/machine/agent.go
+++ b/cmd/machine/agent.go
@@ -58,6 +58,7 @@
 	if err := p.servePeers(server); err != nil {
 		return err
 	}
+	p.serveMetrics(map[string]func() any{"agent": func() any { return r.Counters() }})
 	p.log.Info().Uint64("token", token).Str("peers", p.peerAddress()).Str("worker", p.settings.WorkerAddress).Msg("agent started")
 	r.Run(ctx)
 	p.log.Info().Msg("agent stops")
--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog/diode"
 	"golang.org/x/sys/unix"
 
+	"persimmonrock.example/ops/serve"
 	"persimmonrock.example/platform/boot"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -108,6 +109,25 @@
 	return s, nil
 }
 
+// metricsPort is where each process shows its counters; the deploy file names
+// it, too.
+const metricsPort = 9464
+
+// serveMetrics shows the figures of a process. They are of use even where the
+// port can't be had, so that is only logged.
+func (p *program) serveMetrics(figures map[string]func() any) {
+	vars := serve.NewVars()
+	for name, f := range figures {
+		vars.Func(name, f)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", vars)
+	address := net.JoinHostPort(p.settings.IP.String(), strconv.Itoa(metricsPort))
+	if _, err := p.serveHTTP(address, mux); err != nil {
+		p.log.Warn().Err(err).Str("address", address).Msg("no metrics")
+	}
+}
+
 // stopSignal returns a context that ends with SIGTERM. SIGHUP tells that the
 // settings file has changed.
 func (p *program) stopSignal(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -48,12 +48,14 @@
 func (p *program) runEntry(ctx context.Context) error {
 	ctx, cancel := p.stopSignal(ctx)
 	defer cancel()
-	rows := relay.New(store.New(p.settings.StoreAddress), p.peerAddress(), dispatch.NewLink, p.log)
+	direct := store.New(p.settings.StoreAddress)
+	rows := relay.New(direct, p.peerAddress(), dispatch.NewLink, p.log)
 	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig}, p.log, sinceBoot)
+	counters := &scheduler.Counters{}
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(),
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
-	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Link: dispatch.NewLink, Counters: &scheduler.Counters{}})
+	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Link: dispatch.NewLink, Counters: counters})
 	service := intake.New(rows, config, elector, intake.NewStoreClock(sinceBoot), p.log)
 	server := rpc.NewServer()
 	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
@@ -72,6 +74,11 @@
 	if _, err := p.serveHTTP(p.settings.ReadyListen, front.ReadyHandler(service.Ready)); err != nil {
 		return err
 	}
+	p.serveMetrics(map[string]func() any{
+		"intake":    func() any { return service.Counters.Figures() },
+		"scheduler": func() any { return counters.Figures() },
+		"store":     func() any { return map[string]int64{"calls": direct.Calls(), "relayed": rows.Relayed()} },
+	})
 	p.log.Info().Str("clients", p.settings.ClientListen).Str("peers", p.peerAddress()).Msg("entry started")
 	// The configuration is followed while open calls are still answered.
 	go rows.Run(context.WithoutCancel(ctx), p.settings.Node)
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -14,6 +14,7 @@
 
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/ops/histogram"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -40,6 +41,18 @@
 // Counters are an entry's figures.
 type Counters struct {
 	Accepted, Repeated, Refused, Undecided, States, StateReads, Cancels atomic.Int64
+	// HandIn is the time from a job's arrival to the answer, State that of a
+	// question for a state.
+	HandIn, State histogram.Latency
+}
+
+// Figures are the counters as they are shown.
+func (c *Counters) Figures() map[string]any {
+	return map[string]any{
+		"accepted": c.Accepted.Load(), "repeated": c.Repeated.Load(), "refused": c.Refused.Load(), "undecided": c.Undecided.Load(),
+		"states": c.States.Load(), "state_reads": c.StateReads.Load(), "cancels": c.Cancels.Load(),
+		"hand_in_ms": c.HandIn.Summary(), "state_ms": c.State.Summary(),
+	}
 }
 
 // Service answers the clients' calls.
@@ -98,6 +111,7 @@
 	})
 	s.log.Info().Str("job", string(j.ID)).Str("queue", q.Name).Str("outcome", result.String()).Dur("took", time.Since(begun)).
 		Uint64("config", s.configVersion()).Int("steps", len(j.Steps)).Msg("job handed in")
+	s.Counters.HandIn.Observe(time.Since(begun))
 	switch result {
 	case stored:
 		s.Counters.Accepted.Add(1)
@@ -181,6 +195,7 @@
 // State returns a job's state, from the scheduler or else from the store.
 func (s *Service) State(ctx context.Context, _ workload.Queue, id workload.JobID) (workload.State, error) {
 	s.Counters.States.Add(1)
+	defer func(begun time.Time) { s.Counters.State.Observe(time.Since(begun)) }(time.Now())
 	if !workload.ValidJobID(string(id)) {
 		return "", workload.ErrNoJob
 	}
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -144,6 +144,7 @@
 		stamp, err := t.deps.Store.Apply(context.WithoutCancel(t.ctx), full)
 		t.deps.Counters.Commits.Add(1)
 		if err == nil {
+			t.deps.Counters.Commit.Observe(t.deps.Now() - sent)
 			t.renewed(lease, stamp.Version, sent, stamp)
 			return true
 		}
--- /dev/null
+++ b/entry/scheduler/counters.go
@@ -0,0 +1,33 @@
+package scheduler
+
+import (
+	"sync/atomic"
+
+	"persimmonrock.example/ops/histogram"
+)
+
+// Counters are a scheduler's figures over all terms of a process.
+type Counters struct {
+	// Terms counts the leases taken, Jobs and JobsEnded the jobs.
+	Terms, Jobs, JobsEnded atomic.Int64
+	// Placements, Ends, Void and Lost count runs: on record, ended, never
+	// run, and lost with their worker. Relocated are those stopped to run
+	// elsewhere.
+	Placements, Ends, Void, Lost, Relocated atomic.Int64
+	// Commits counts the transactions and their repeats, CommitErrors those
+	// without success.
+	Commits, CommitErrors atomic.Int64
+	// FirstStart is the time from acceptance to a job's first placement,
+	// Commit that of a transaction.
+	FirstStart, Commit histogram.Latency
+}
+
+// Figures are the counters as they are shown.
+func (c *Counters) Figures() map[string]any {
+	return map[string]any{
+		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
+		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(),
+		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
+		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(),
+	}
+}
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"persimmonrock.example/infra/rowstore"
@@ -32,11 +31,6 @@
 	lookGap = 1200 * time.Millisecond
 )
 
-// Counters are a scheduler's figures over all terms of a process.
-type Counters struct {
-	Terms, Jobs, JobsEnded, Placements, Ends, Void, Lost, Commits, CommitErrors, Preempted, Stalled, Relocated atomic.Int64
-}
-
 // Elector watches the lease and serves terms.
 type Elector struct {
 	cfg  Config
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -322,7 +322,10 @@
 	if j.state == workload.Queued {
 		j.state = workload.Running
 	}
-	j.started = true
+	if !j.started {
+		j.started = true
+		t.deps.Counters.FirstStart.Observe(time.Duration(t.storeNow()-j.spec.Accepted) * time.Millisecond)
+	}
 	t.mark(j)
 	t.deps.Counters.Placements.Add(1)
 	t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: run}).Str("worker", string(w.id)).Str("instance", w.agent).
