--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -87,6 +87,8 @@
 	occurrences []*occurrence
 	dirty       bool
 	started     bool
+	// idleSince is when it was first seen that nothing of the job runs.
+	idleSince time.Time
 	// key is the job's place in the order of the last plan.
 	key order.Key
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -124,7 +124,7 @@
 	switch {
 	case s.spec.Fills:
 		t.press(v, s.spec)
-		if !t.waitedOut(j) {
+		if !t.waitedOut(v, j) {
 			defer v.barPressed(s.spec)()
 		}
 	case s.spec.TailTarget > 0:
@@ -150,14 +150,59 @@
 	}
 }
 
-// patience is how long after it was of any use to its client a job still
-// waits for a worker on which it does not press. Then it goes wherever there
-// is room, so that no job waits for ever.
-const patience = 30 * time.Second
+const (
+	// patience is how long after it was of any use to its client a job still
+	// waits for a worker on which it does not press. Then it goes wherever
+	// there is room, so that no job waits for ever.
+	patience = 30 * time.Second
+	// idlePatience is the same for a job of which nothing runs while most of
+	// the service's room is free: its client sees a job that stands still
+	// beside idle workers.
+	idlePatience = 2 * time.Second
+	// mostlyFree is the part of a service's counted CPU below which that
+	// holds.
+	mostlyFree = 0.52
+)
 
-func (t *Term) waitedOut(j *job) bool {
+// waitedOut reports whether a job no longer waits for a worker on which it
+// does not press.
+func (t *Term) waitedOut(v *view, j *job) bool {
 	now := time.Duration(t.storeNow()) * time.Millisecond
-	return j.key.Class == order.Overdue && now > j.key.By+patience
+	if j.key.Class == order.Overdue && now > j.key.By+patience {
+		return true
+	}
+	return v.busy() < mostlyFree && j.idleFor(time.Now()) > idlePatience
+}
+
+// busy is the part of the candidates' CPU that is counted as taken.
+func (v *view) busy() float64 {
+	taken, whole := 0, 0
+	for i := range v.candidates {
+		if c := &v.candidates[i]; !c.Barred {
+			taken += c.Capacity.CPU - c.Free.CPU
+			whole += c.Capacity.CPU
+		}
+	}
+	if whole == 0 {
+		return 1
+	}
+	return float64(taken) / float64(whole)
+}
+
+// idleFor is how long nothing of the job has run.
+func (j *job) idleFor(now time.Time) time.Duration {
+	idle := true
+	j.each(func(_ workload.TaskID, _ *step, k *task) {
+		idle = idle && k.state != taskPlaced
+	})
+	switch {
+	case !idle:
+		j.idleSince = time.Time{}
+		return 0
+	case j.idleSince.IsZero():
+		j.idleSince = now
+	}
+	return now.Sub(j.idleSince)
 }
 
 // barPressed bars the workers on whose serving tasks one more task of s would
