Log lines are bounded; a lost dependency is told once

Now one line when it is lost and one, with the number of failures, when it is back. A limit of 500 lines a second, warnings apart, counts what it leaves out; the writer drops lines rather than wait.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -87,10 +87,14 @@
 // answered notes that the worker has answered a call.
 func (r *Runner) answered(l *life) {
 	l.answeredAt = r.deps.Now()
+	failures := l.failures
+	l.failures = 0
 	if l.silent {
 		l.silent, l.lapsed = false, false
 		l.changed = r.touch(true)
-		r.deps.Log.Info().Str("worker", string(l.id)).Msg("worker answers again")
+	}
+	if failures > 0 {
+		r.deps.Log.Info().Str("worker", string(l.id)).Int("failures", failures).Msg("worker answers again")
 	}
 }
 
@@ -167,6 +171,8 @@
 func (r *Runner) holdFailed(ctx context.Context, l *life, err error) {
 	r.mu.Lock()
 	r.counters.HoldErrors++
+	l.failures++
+	first := l.failures == 1
 	var refused *workerctl.RefusedError
 	gone := errors.Is(err, workerctl.ErrGone)
 	fenced := errors.As(err, &refused)
@@ -180,10 +186,13 @@
 	if fenced {
 		r.deps.Log.Error().Err(err).Uint64("token", r.cfg.Token).Msg("a newer agent holds the worker")
 	}
-	if ctx.Err() == nil && !gone {
-		r.deps.Log.Warn().Err(err).Str("worker", string(l.id)).Msg("hold failed")
-		r.pause(ctx, holdRetry)
+	if ctx.Err() != nil || gone {
+		return
+	}
+	if first {
+		r.deps.Log.Warn().Err(err).Str("worker", string(l.id)).Msg("worker does not answer")
 	}
+	r.pause(ctx, holdRetry)
 }
 
 // apply takes a listing that was asked for at sent.
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -99,6 +99,8 @@
 	answeredAt time.Duration
 	// leaseEnd is when the last lease that was sent is over for certain.
 	leaseEnd time.Duration
+	// failures counts the listings without an answer in a row.
+	failures int
 	// silent says that the worker does not answer.
 	silent bool
 	// lapsed says that its last lease is over and the worker has not answered since:
--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog/diode"
 	"golang.org/x/sys/unix"
 
+	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/ops/serve"
 	"persimmonrock.example/platform/boot"
 	"persimmonrock.example/wire/dispatch"
@@ -35,6 +36,9 @@
 	// logLines is the number of lines that wait for a slow reader; more are
 	// dropped and counted.
 	logLines = 2000
+	// logsPerSecond bounds the lines of a process. At the load of today an
+	// entry that schedules writes about 150 a second; each costs some 10 µs.
+	logsPerSecond = 500
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
 	// memoryShare is the part of the memory limit that the runtime's own
@@ -51,6 +55,7 @@
 type program struct {
 	settings boot.Settings
 	log      zerolog.Logger
+	limit    *logs.Limit
 	flush    func()
 }
 
@@ -64,10 +69,11 @@
 	w := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
 		dropped.Warn().Int("lines", missed).Msg("log lines dropped")
 	})
-	log := zerolog.New(w).With().Timestamp().Str("process", settings.Node).Logger()
+	limit := &logs.Limit{PerSecond: logsPerSecond}
+	log := zerolog.New(w).Sample(limit).With().Timestamp().Str("process", settings.Node).Logger()
 	dropped = zerolog.New(os.Stderr).With().Timestamp().Str("process", settings.Node).Logger()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return &program{settings: settings, log: log, flush: func() { _ = w.Close() }}, nil
+	return &program{settings: settings, log: log, limit: limit, flush: func() { _ = w.Close() }}, nil
 }
 
 // peerAddress is where the process takes the calls of the other processes.
@@ -117,6 +123,7 @@
 // port can't be had, so that is only logged.
 func (p *program) serveMetrics(figures map[string]func() any) {
 	vars := serve.NewVars()
+	vars.Func("log_lines_skipped", func() any { return p.limit.Skipped() })
 	for name, f := range figures {
 		vars.Func(name, f)
 	}
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -53,7 +53,7 @@
 
 // Run follows the configuration until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	after, listed := uint64(0), false
+	after, listed, failing := uint64(0), false, false
 	for ctx.Err() == nil {
 		var rows []rowstore.Row
 		var at rowstore.Stamp
@@ -64,15 +64,20 @@
 			rows, _, at, err = f.store.List(ctx, f.source.Key.Table, f.source.Key.Part, f.source.Key.Key, f.source.Key.Key+"\x00")
 		}
 		if err != nil {
-			if listed && ctx.Err() == nil {
-				f.log.Warn().Err(err).Msg("configuration feed fails; reading anew")
+			if !failing && ctx.Err() == nil {
+				f.log.Warn().Err(err).Msg("configuration feed lost")
 			}
+			failing = true
 			// After any fault of the feed the row itself is read: a feed may
 			// have been silent while changes were made.
 			listed = listed && !errors.Is(err, rowstore.ErrCompacted) && !errors.Is(err, rowstore.ErrUnknown)
 			sleep(ctx, configRetry)
 			continue
 		}
+		if failing {
+			failing = false
+			f.log.Info().Msg("configuration feed regained")
+		}
 		f.heard.Store(int64(f.now()))
 		after, listed = max(after, at.Version), true
 		for _, row := range rows {
