--- /dev/null
+++ b/cmd/persimmonrock/explain.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// explainCommand reads the log files of all processes, since an engineer who
+// asks what became of a job has nothing else.
+func explainCommand() command {
+	return command{"explain", "print the story of a job from the log files of all processes", runExplain}
+}
+
+const explainUsage = `Print what all processes logged of a job, a task or a run, in the order of time.
+
+    persimmonrock explain 5c0e7a21d94b36f8 entry-1.log entry-2.log agent-*.log
+    cat *.log | persimmonrock explain 5c0e7a21d94b36f8.0.1.17
+
+Times are those of each process's own clock.
+`
+
+func runExplain(_ context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() { fmt.Fprint(stderr, explainUsage) }
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if flags.NArg() == 0 {
+		flags.Usage()
+		return exitUsage
+	}
+	lines, err := readStory(flags.Arg(0), flags.Args()[1:])
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitError
+	}
+	if len(lines) == 0 {
+		fmt.Fprintf(stderr, "no line names %s\n", flags.Arg(0))
+		return exitError
+	}
+	for _, l := range lines {
+		fmt.Fprintln(stdout, l)
+	}
+	return exitOK
+}
+
+// logLine is one structured line.
+type logLine struct {
+	Time    int64  `json:"time"`
+	Process string `json:"process"`
+	Message string `json:"message"`
+	Job     string `json:"job"`
+	Run     string `json:"run"`
+	fields  map[string]any
+}
+
+// about reports whether the line is about id: a job, or a task or run of it.
+func (l *logLine) about(id string) bool {
+	if l.Job == id {
+		return true
+	}
+	rest, ok := strings.CutPrefix(l.Run, id)
+	return ok && (rest == "" || rest[0] == '.' || rest[0] == '#')
+}
+
+// String gives the line as a person reads it.
+func (l *logLine) String() string {
+	var names []string
+	for name := range l.fields {
+		switch name {
+		case "time", "process", "message", "level", "job":
+		default:
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	text := fmt.Sprintf("%s %-20s %-16s", time.UnixMilli(l.Time).UTC().Format("15:04:05.000"), l.Process, l.Message)
+	for _, name := range names {
+		text += fmt.Sprintf(" %s=%v", name, l.fields[name])
+	}
+	return text
+}
+
+func readStory(id string, files []string) ([]*logLine, error) {
+	var lines []*logLine
+	if len(files) == 0 {
+		err := scanLog(os.Stdin, id, &lines)
+		return sorted(lines), eris.Wrap(err, "standard input")
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		err = scanLog(f, id, &lines)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return nil, eris.Wrap(err, name)
+		}
+	}
+	return sorted(lines), nil
+}
+
+func sorted(lines []*logLine) []*logLine {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
+	return lines
+}
+
+// longestLine bounds one line of a log.
+const longestLine = 1 << 20
+
+// scanLog adds the lines about id. What stands before a line's first brace,
+// as some collectors put a time there, is passed over, and so is a line that
+// is not structured.
+func scanLog(r io.Reader, id string, lines *[]*logLine) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		brace := strings.IndexByte(string(text), '{')
+		if brace < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(text[brace:], &l) != nil || !l.about(id) {
+			continue
+		}
+		if json.Unmarshal(text[brace:], &l.fields) == nil {
+			*lines = append(*lines, &l)
+		}
+	}
+	return scanner.Err()
+}
--- /dev/null
+++ b/cmd/persimmonrock/explain_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const entryLog = `  7.1 edge {"level":"info","process":"entry-1","job":"5c0e7a21d94b36f8","queue":"q","outcome":"stored","time":1000,"message":"job handed in"}
+not a structured line
+{"level":"info","process":"entry-1","run":"5c0e7a21d94b36f8.0.0.1#1","worker":"w-1","time":1020,"message":"placed"}
+{"level":"info","process":"entry-1","run":"ffffe7a21d94b36f.0.0.1#1","worker":"w-1","time":1021,"message":"placed"}
+`
+
+const agentLog = `{"level":"info","process":"agent-1","run":"5c0e7a21d94b36f8.0.0.1#1","how":"failed","time":2000,"message":"run ended"}
+{"level":"info","process":"agent-1","run":"5c0e7a21d94b36f8.0.0.1#1","cpu":500,"time":1025,"message":"start"}
+{"level":"info","process":"agent-1","run":"5c0e7a21d94b36f8.0.0.12#1","cpu":500,"time":1026,"message":"start"}
+`
+
+func TestExplainTellsTheStoryOfOneJob(t *testing.T) {
+	dir := t.TempDir()
+	a, b := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	for name, text := range map[string]string{a: entryLog, b: agentLog} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cases := []struct {
+		args   []string
+		status int
+		want   []string
+	}{
+		{[]string{"5c0e7a21d94b36f8", a, b}, exitOK, []string{"job handed in", "placed", "start", "start", "run ended"}},
+		{[]string{"5c0e7a21d94b36f8.0.0.1", a, b}, exitOK, []string{"placed", "start", "run ended"}},
+		{[]string{"0000000000000000", a}, exitError, nil},
+		{[]string{"5c0e7a21d94b36f8", filepath.Join(dir, "none.log")}, exitError, nil},
+		{nil, exitUsage, nil},
+	}
+	for _, c := range cases {
+		var out, errs strings.Builder
+		if status := runExplain(t.Context(), c.args, &out, &errs); status != c.status {
+			t.Errorf("%v: status %d, want %d: %s", c.args, status, c.status, errs.String())
+		}
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		if c.want == nil {
+			continue
+		}
+		if len(lines) != len(c.want) {
+			t.Fatalf("%v: %d lines, want %d:\n%s", c.args, len(lines), len(c.want), out.String())
+		}
+		for i, want := range c.want {
+			if !strings.Contains(lines[i], want) {
+				t.Errorf("%v: line %d is %q, want %q", c.args, i, lines[i], want)
+			}
+		}
+	}
+}
