--- a/decide/pressure/model.go
+++ b/decide/pressure/model.go
@@ -172,3 +172,35 @@
 	}
 	return all
 }
+
+const (
+	// alike is the difference of two serving images of which too little is
+	// known: they are left where they are.
+	alike = 0.0
+	// compared is the least number of filling images that must be known of
+	// both.
+	compared = 3
+)
+
+// Difference tells how differently two serving images are pressed on, from 0
+// (by the same filling images) to 1 (by others altogether).
+func (m *Model) Difference(a, b string) float64 {
+	if a == b {
+		return 0
+	}
+	apart, both := 0.0, 0.0
+	n := 0
+	for image, w := range m.Weights(a) {
+		o := m.Weight(Pair{Serving: b, Filling: image})
+		if !w.Known || !o.Known {
+			continue
+		}
+		n++
+		apart += max(w.Value, o.Value) - min(w.Value, o.Value)
+		both += max(w.Value, o.Value)
+	}
+	if n < compared || both < priorWeight {
+		return alike
+	}
+	return apart / both
+}
--- a/decide/pressure/pressure_test.go
+++ b/decide/pressure/pressure_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+
+	"persimmonrock.example/structs/workload"
 )
 
 // truth is the weights of a made-up world: f1 presses on a, f2 on b.
@@ -93,3 +95,91 @@
 		}
 	}
 }
+
+// groups: images a1 and a2 are pressed on alike, b1 by others.
+func groups(a, b string) float64 {
+	if a[0] == b[0] {
+		return 0
+	}
+	return 1
+}
+
+func room(cpu int) workload.Resources { return workload.Resources{CPU: cpu, Memory: 1000} }
+
+func serve(image string, worker int) Task {
+	return Task{Image: image, Worker: worker, Need: room(4)}
+}
+
+func TestRegroup(t *testing.T) {
+	fixed := func(x Task) Task { x.Fixed = true; return x }
+	barred := func(x Task, w int) Task { x.Barred = map[int]bool{w: true}; return x }
+	full := []workload.Resources{room(0), room(0)}
+	cases := []struct {
+		name  string
+		tasks []Task
+		free  []workload.Resources
+		want  Move
+		ok    bool
+	}{
+		{"nothing serves", nil, full, Move{}, false},
+		{"apart already", []Task{serve("a1", 0), serve("a2", 0), serve("b1", 1)}, full, Move{}, false},
+		{"one goes to its like", []Task{serve("a1", 0), serve("b1", 0), serve("b1", 1)}, []workload.Resources{room(0), room(4)}, Move{1, 1, none}, true},
+		{"not to a worker without serving tasks", []Task{serve("a1", 0), serve("b1", 0)}, []workload.Resources{room(0), room(16)}, Move{}, false},
+		{"two change places", []Task{serve("a1", 0), serve("b1", 0), serve("a1", 1), serve("b1", 1)}, full, Move{0, 1, 3}, true},
+		{"no room and nobody to change with", []Task{serve("a1", 0), serve("b1", 0), fixed(serve("b1", 1))}, full, Move{}, false},
+		{"what may not move stays", []Task{fixed(serve("a1", 0)), fixed(serve("b1", 0)), serve("b1", 1)}, []workload.Resources{room(0), room(4)}, Move{}, false},
+		{"not where it is barred", []Task{serve("a1", 0), barred(serve("b1", 0), 1), serve("b1", 1)}, []workload.Resources{room(0), room(4)}, Move{}, false},
+	}
+	for _, c := range cases {
+		if got, ok := Regroup(c.tasks, c.free, groups); ok != c.ok || got != c.want {
+			t.Errorf("%s: %+v %t, want %+v %t", c.name, got, ok, c.want, c.ok)
+		}
+	}
+}
+
+// Moves must come to an end: each one lowers the cost.
+func TestRegroupComesToAnEnd(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	images := []string{"a1", "a2", "b1", "b2"}
+	for range 50 {
+		var tasks []Task
+		free := make([]workload.Resources, 6)
+		for w := range free {
+			free[w] = room(rng.IntN(10))
+			for range 4 {
+				tasks = append(tasks, serve(images[rng.IntN(4)], w))
+			}
+		}
+		moves := 0
+		for m, ok := Regroup(tasks, free, groups); ok; m, ok = Regroup(tasks, free, groups) {
+			from := tasks[m.One].Worker
+			tasks[m.One].Worker = m.To
+			free[from], free[m.To] = free[from].Add(room(4)), free[m.To].Sub(room(4))
+			if m.Other != none {
+				tasks[m.Other].Worker = from
+				free[from], free[m.To] = free[from].Sub(room(4)), free[m.To].Add(room(4))
+			}
+			if moves++; moves > 100 {
+				t.Fatal("no end of moves")
+			}
+		}
+	}
+}
+
+func TestDifferenceIsLearnt(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	var m Model
+	if d := m.Difference("a", "b"); d != alike {
+		t.Errorf("unknown images differ by %v", d)
+	}
+	for range 150 {
+		m.Observe(sample(rng, "a"))
+		m.Observe(sample(rng, "b"))
+	}
+	if d := m.Difference("a", "b"); d < 0.7 {
+		t.Errorf("images that others press on differ by %v", d)
+	}
+	if d := m.Difference("a", "a"); d != 0 {
+		t.Errorf("an image differs from itself by %v", d)
+	}
+}
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -11,9 +11,9 @@
 	// Terms counts the leases taken, Jobs and JobsEnded the jobs.
 	Terms, Jobs, JobsEnded atomic.Int64
 	// Placements, Ends, Void and Lost count runs: on record, ended, never
-	// run, and lost with their worker. Relocated are those stopped to run
-	// elsewhere.
-	Placements, Ends, Void, Lost, Relocated atomic.Int64
+	// run, and lost with their worker. Relocated are filling runs that were
+	// stopped to run elsewhere, Regrouped serving ones.
+	Placements, Ends, Void, Lost, Relocated, Regrouped atomic.Int64
 	// Commits counts the transactions and their repeats, CommitErrors those
 	// without success.
 	Commits, CommitErrors atomic.Int64
@@ -26,7 +26,7 @@
 func (c *Counters) Figures() map[string]any {
 	return map[string]any{
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
-		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(),
+		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(),
 	}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -32,6 +32,9 @@
 	// ordered says that the placement is stored and was handed to the agent.
 	ordered  bool
 	placedAt time.Time
+	// pin is the worker that is to take the next run, until pinUntil.
+	pin      workload.WorkerID
+	pinUntil time.Time
 	// moves counts how often the task was relocated.
 	moves int
 	// avoid is the worker where the task failed last.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -136,6 +136,9 @@
 		if k.state != taskWaiting || k.notBefore.After(now) {
 			continue
 		}
+		if t.placePinned(v, j, o, si, i, now) {
+			continue
+		}
 		n := placement.Choose(placement.Request{Step: s.spec, Avoid: v.index(k.avoid), Rack: v.rackOfStep(s)}, v.candidates)
 		if n < 0 {
 			return
@@ -376,6 +379,3 @@
 	t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: run}).Str("worker", string(w.id)).Str("instance", w.agent).
 		Int("free_cpu", v.candidates[n].Free.CPU).Int64("wait_ms", t.storeNow()-j.spec.Accepted).Msg("placed")
 }
-
-// watchRuns is where runs that stand still are found.
-func (t *Term) watchRuns() bool { return false }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -76,6 +76,8 @@
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
 	learner learner
+	// regrouped is when the mixing of serving images was last looked at.
+	regrouped time.Duration
 	// early holds cancellations whose job is not known yet.
 	early map[workload.JobID]bool
 	// validUntil is the end of the term's own validity.
@@ -156,7 +158,7 @@
 		t.mu.Lock()
 		changed := t.loseWorkers()
 		changed = t.beginOccurrences() || changed
-		changed = t.watchRuns() || changed
+		changed = t.regroup() || changed
 		t.mu.Unlock()
 		if changed {
 			t.wakeUp()
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -31,6 +31,8 @@
 	fills map[string]int
 	// stopping is the part of used that is being stopped.
 	stopping workload.Resources
+	// kept is room for tasks that are to move here.
+	kept map[workload.TaskID]keptRoom
 	// processed is the highest end applied, stored the highest whose effect
 	// is stored.
 	processed uint64
@@ -38,6 +40,26 @@
 	health    health
 }
 
+// keptRoom is room for one task, until a time.
+type keptRoom struct {
+	need  workload.Resources
+	until time.Time
+}
+
+// keptFor is the room that is kept here for tasks other than id.
+func (w *worker) keptFor(id workload.TaskID, now time.Time) workload.Resources {
+	var sum workload.Resources
+	for k, r := range w.kept {
+		switch {
+		case !now.Before(r.until):
+			delete(w.kept, k)
+		case k != id:
+			sum = sum.Add(r.need)
+		}
+	}
+	return sum
+}
+
 type reservation struct {
 	counted workload.Resources
 	fill    int
@@ -46,7 +68,7 @@
 }
 
 func newWorker(id workload.WorkerID, agent string) *worker {
-	return &worker{id: id, agent: agent, runs: map[workload.RunID]reservation{}, fills: map[string]int{}}
+	return &worker{id: id, agent: agent, runs: map[workload.RunID]reservation{}, fills: map[string]int{}, kept: map[workload.TaskID]keptRoom{}}
 }
 
 // add counts a run.
@@ -113,7 +135,7 @@
 // candidate is the worker as the placement sees it.
 func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
 	return placement.Candidate{
-		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used), FillLoad: w.fillLoad, Serving: w.serving,
+		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.keptFor(workload.TaskID{}, time.Now())), FillLoad: w.fillLoad, Serving: w.serving,
 		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now),
 		Barred: !w.alive || w.info.Draining || w.info.Service != service,
 	}
