Plans cost less: pressure once a plan, queues by name, bounded looks

Cause: with 69 machines the scheduler's entry used up to 0.40 of its core; each step of each plan worked the pressure on every worker out anew, every job looked through all queues, and a look for exchanges weighed all pairs of serving tasks.

--- a/decide/pressure/pressure_test.go
+++ b/decide/pressure/pressure_test.go
@@ -131,7 +131,7 @@
 		{"not where it is barred", []Task{serve("a1", 0), barred(serve("b1", 0), 1), serve("b1", 1)}, []workload.Resources{room(0), room(4)}, Move{}, false},
 	}
 	for _, c := range cases {
-		if got, ok := Regroup(c.tasks, c.free, groups); ok != c.ok || got != c.want {
+		if got, ok := Regroup(c.tasks, c.free, groups, 0); ok != c.ok || got != c.want {
 			t.Errorf("%s: %+v %t, want %+v %t", c.name, got, ok, c.want, c.ok)
 		}
 	}
@@ -151,7 +151,7 @@
 			}
 		}
 		moves := 0
-		for m, ok := Regroup(tasks, free, groups); ok; m, ok = Regroup(tasks, free, groups) {
+		for m, ok := Regroup(tasks, free, groups, moves); ok; m, ok = Regroup(tasks, free, groups, moves) {
 			from := tasks[m.One].Worker
 			tasks[m.One].Worker = m.To
 			free[from], free[m.To] = free[from].Add(room(4)), free[m.To].Sub(room(4))
--- a/decide/pressure/regroup.go
+++ b/decide/pressure/regroup.go
@@ -38,18 +38,28 @@
 // others all filling work runs at full speed.
 const occupied = 2.5
 
+// tries bounds the exchanges that one look weighs, to a few milliseconds; the
+// next look begins at another worker.
+const tries = 1500
+
 // Regroup returns the move that best separates serving images that differ in
 // what presses on them, if any is worth it. free is the room of each worker.
 //
 // Where two such images share a worker nearly all filling work presses on one
 // of them. Images are known by name only when their tasks are placed; which
 // differ is learnt later.
-func Regroup(tasks []Task, free []workload.Resources, difference func(a, b string) float64) (Move, bool) {
+// look numbers the looks.
+func Regroup(tasks []Task, free []workload.Resources, difference func(a, b string) float64, look int) (Move, bool) {
 	g := newGrouping(tasks, len(free), difference)
-	for _, from := range g.mixed() {
+	mixed := g.mixed()
+	for n := range mixed {
+		if g.tried > tries {
+			break
+		}
+		from := mixed[(n+look)%len(mixed)]
 		best, bestGain := Move{}, leastGain
-		for i := range tasks {
-			if tasks[i].Worker != from || tasks[i].Fixed {
+		for _, i := range g.on[from] {
+			if tasks[i].Fixed {
 				continue
 			}
 			for to := range free {
@@ -70,14 +80,18 @@
 	count      []map[string]int
 	movable    []bool
 	difference func(a, b string) float64
+	// on lists the tasks of each worker.
+	on    [][]int
+	tried int
 }
 
 func newGrouping(tasks []Task, workers int, difference func(a, b string) float64) *grouping {
-	g := &grouping{count: make([]map[string]int, workers), movable: make([]bool, workers), difference: difference}
+	g := &grouping{count: make([]map[string]int, workers), movable: make([]bool, workers), difference: difference, on: make([][]int, workers)}
 	for i := range g.count {
 		g.count[i] = map[string]int{}
 	}
-	for _, t := range tasks {
+	for i, t := range tasks {
+		g.on[t.Worker] = append(g.on[t.Worker], i)
 		g.count[t.Worker][t.Image]++
 		g.movable[t.Worker] = g.movable[t.Worker] || !t.Fixed
 	}
@@ -117,8 +131,12 @@
 // try weighs moving task i to a worker, alone or for each task there.
 func (g *grouping) try(tasks []Task, free []workload.Resources, i, to int, best *Move, bestGain *float64) {
 	from := tasks[i].Worker
+	if g.tried > tries {
+		return
+	}
 	before := g.cost(from) + g.cost(to)
 	weigh := func(other int) {
+		g.tried++
 		g.swap(tasks, i, to, other, 1)
 		gain := before - g.cost(from) - g.cost(to)
 		g.swap(tasks, i, to, other, -1)
@@ -130,8 +148,8 @@
 		weigh(none)
 		return
 	}
-	for k := range tasks {
-		if tasks[k].Worker != to || tasks[k].Fixed || tasks[k].Barred[from] || tasks[k].Image == tasks[i].Image {
+	for _, k := range g.on[to] {
+		if tasks[k].Fixed || tasks[k].Barred[from] || tasks[k].Image == tasks[i].Image {
 			continue
 		}
 		if tasks[i].Need.Fits(free[to].Add(tasks[k].Need)) && tasks[k].Need.Fits(free[from].Add(tasks[i].Need)) {
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -97,30 +97,46 @@
 	return sum
 }
 
-// pressedBy is the load on the most pressed serving image of w, with the
-// filling tasks there at full pace and one more of s. presses says that this
-// one is known to add to it.
-func (l *learner) pressedBy(w *worker, s *workload.Step) (worst float64, presses bool) {
+// workerPressure is how filling work presses on the serving images of a worker.
+type workerPressure struct {
+	serving []string
+	// load is what the filling tasks there, at full pace, put on each.
+	load []float64
+}
+
+// pressureOn works out what presses on w.
+func (l *learner) pressureOn(w *worker) workerPressure {
+	var p workerPressure
 	if w.serving == 0 || w.info.Capacity.CPU == 0 {
-		return 0, false
+		return p
 	}
 	whole := float64(w.info.Capacity.CPU)
 	for serving := range w.servingImages() {
 		sum := 0.0
-		own := l.model.Weight(pressure.Pair{Serving: serving, Filling: s.Image})
 		for image, cpu := range w.fills {
 			if cpu > 0 {
 				sum += l.model.Weight(pressure.Pair{Serving: serving, Filling: image}).Value * float64(cpu) / whole
 			}
 		}
-		extra := own.Value * float64(s.Need.CPU) / whole
+		p.serving = append(p.serving, serving)
+		p.load = append(p.load, sum)
+	}
+	return p
+}
+
+// pressedBy is the load on the most pressed serving image of w with one more
+// task of s. presses says that this one is known to add to it.
+func (l *learner) pressedBy(w *worker, p workerPressure, s *workload.Step) (worst float64, presses bool) {
+	for i, serving := range p.serving {
+		own := l.model.Weight(pressure.Pair{Serving: serving, Filling: s.Image})
+		extra := own.Value * float64(s.Need.CPU) / float64(w.info.Capacity.CPU)
 		presses = presses || own.Known && extra > pressingExtra
-		if extra < harmlessExtra {
+		if extra >= harmlessExtra {
 			// What does not press adds nothing, however pressed the serving
 			// task is by others.
-			sum = 0
+			extra += p.load[i]
 		}
-		worst = max(worst, sum+extra)
+		worst = max(worst, extra)
 	}
 	return worst, presses
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -32,8 +32,9 @@
 	workers    []*worker
 	service    string
 	candidates []placement.Candidate
-	// failed remembers the smallest needs that found no room.
-	now time.Duration
+	now        time.Duration
+	// pressure is worked out when the first filling step is planned.
+	pressure []workerPressure
 }
 
 func (t *Term) newView() *view {
@@ -68,13 +69,16 @@
 		}
 	}
 	t.active = kept
-	if c := t.deps.Config(); c != nil {
-		for _, j := range t.active {
-			for _, q := range c.Queues {
-				if q.Name == j.spec.Queue.Name {
-					j.queue = q
-				}
-			}
+	if c := t.deps.Config(); c != nil && c.Version != t.queuesOf {
+		t.queuesOf = c.Version
+		t.queues = make(map[string]workload.Queue, len(c.Queues))
+		for _, q := range c.Queues {
+			t.queues[q.Name] = q
+		}
+	}
+	for _, j := range t.active {
+		if q, ok := t.queues[j.spec.Queue.Name]; ok {
+			j.queue = q
 		}
 	}
 	now := time.Duration(t.storeNow()) * time.Millisecond
@@ -148,7 +152,8 @@
 		t.place(v, j, o, si, i, n, k.run+1)
 		switch {
 		case s.spec.Fills:
-			v.candidates[n].Pressed, _ = t.learner.pressedBy(v.workers[n], s.spec)
+			v.pressure[n] = t.learner.pressureOn(v.workers[n])
+			v.candidates[n].Pressed, _ = t.learner.pressedBy(v.workers[n], v.pressure[n], s.spec)
 		case s.spec.TailTarget > 0:
 			v.candidates[n].SameImage = true
 		}
@@ -242,8 +247,14 @@
 // press sets what one more task of s would put on the serving tasks of each
 // candidate.
 func (t *Term) press(v *view, s *workload.Step) {
+	if v.pressure == nil {
+		v.pressure = make([]workerPressure, len(v.workers))
+		for i, w := range v.workers {
+			v.pressure[i] = t.learner.pressureOn(w)
+		}
+	}
 	for i, w := range v.workers {
-		v.candidates[i].Pressed, v.candidates[i].Presses = t.learner.pressedBy(w, s)
+		v.candidates[i].Pressed, v.candidates[i].Presses = t.learner.pressedBy(w, v.pressure[i], s)
 	}
 }
 
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -35,6 +35,7 @@
 		return false
 	}
 	t.regrouped = now
+	t.looks++
 	v := t.newView()
 	tasks, found, onTheWay := t.servingTasks(v)
 	if onTheWay >= regroupAtOnce || len(tasks) == 0 {
@@ -44,7 +45,7 @@
 	for i, w := range v.workers {
 		free[i] = w.info.Capacity.Sub(w.used).Sub(w.keptFor(workload.TaskID{}, time.Now()))
 	}
-	m, ok := pressure.Regroup(tasks, free, t.learner.model.Difference)
+	m, ok := pressure.Regroup(tasks, free, t.learner.model.Difference, t.looks)
 	if !ok {
 		return false
 	}
--- a/entry/scheduler/relocate.go
+++ b/entry/scheduler/relocate.go
@@ -12,6 +12,8 @@
 	// relocateAfter is how long a run stays where it is at least: the
 	// figures of its pressure cover half a second.
 	relocateAfter = 900 * time.Millisecond
+	// relocateEvery is the time between two looks at them.
+	relocateEvery = 200 * time.Millisecond
 	// relocatePerPlan bounds the runs that move at a time, and
 	// relocatePerTask how often one task does.
 	relocatePerPlan = 4
@@ -22,6 +24,10 @@
 // work, where another worker has room for them on which they don't. They
 // resume there from their checkpoint. The caller has placed all it could.
 func (t *Term) relocate(v *view) {
+	if v.now-t.relocated < relocateEvery {
+		return
+	}
+	t.relocated = v.now
 	left := relocatePerPlan
 	for _, j := range t.active {
 		if j.state.Final() || j.key.Class == order.Overdue || j.queue.Advised {
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -81,8 +81,14 @@
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
 	learner learner
+	// queues are those of the configuration of version queuesOf.
+	queues   map[string]workload.Queue
+	queuesOf uint64
 	// regrouped is when the mixing of serving images was last looked at.
 	regrouped time.Duration
+	looks     int
+	// relocated is the same for filling runs.
+	relocated time.Duration
 	// early holds cancellations whose job is not known yet.
 	early map[workload.JobID]bool
 	// validUntil is the end of the term's own validity.
