--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -17,6 +17,9 @@
 	// long a connection that fell silent goes unnoticed. A change has to be
 	// in force within 2 s.
 	configWait = 500 * time.Millisecond
+	// configCall bounds a call with its wait: a store that does not answer is
+	// to be noticed, and its return, too.
+	configCall = 1300 * time.Millisecond
 	// configRetry is the pause after a read that failed.
 	configRetry = 100 * time.Millisecond
 )
@@ -58,11 +61,13 @@
 		var rows []rowstore.Row
 		var at rowstore.Stamp
 		var err error
+		call, cancel := context.WithTimeout(ctx, configCall)
 		if listed {
-			rows, at, err = f.store.Feed(ctx, f.source.Key.Table, after, configWait)
+			rows, at, err = f.store.Feed(call, f.source.Key.Table, after, configWait)
 		} else {
-			rows, _, at, err = f.store.List(ctx, f.source.Key.Table, f.source.Key.Part, f.source.Key.Key, f.source.Key.Key+"\x00")
+			rows, _, at, err = f.store.List(call, f.source.Key.Table, f.source.Key.Part, f.source.Key.Key, f.source.Key.Key+"\x00")
 		}
+		cancel()
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				f.log.Warn().Err(err).Msg("configuration feed lost")
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -33,9 +33,10 @@
 	// noteTimeout bounds the word to the scheduler of a stored job; the
 	// store's feed finds those that were lost.
 	noteTimeout = 500 * time.Millisecond
-	// readyFor is how long after the store's last answer new connections are
-	// wanted.
-	readyFor = 2500 * time.Millisecond
+	// awayAfter is how long after the store's last answer, directly or through
+	// another entry, it counts as away. The feed of the configuration answers
+	// every half second, and within 0.9 s from a slow store.
+	awayAfter = 1400 * time.Millisecond
 )
 
 // Counters are an entry's figures.
@@ -79,9 +80,13 @@
 
 // Ready reports whether new connections are wanted here.
 func (s *Service) Ready() bool {
-	return !s.stopping.Load() && s.config.Current() != nil && s.config.Heard() < readyFor
+	return !s.stopping.Load() && s.config.Current() != nil && !s.away()
 }
 
+// away reports whether the store has not answered for so long that a write
+// would only keep its caller waiting.
+func (s *Service) away() bool { return s.config.Heard() > awayAfter }
+
 // Queue finds the queue of a call.
 func (s *Service) Queue(host, path string) (workload.Queue, string, int64, error) {
 	c := s.config.Current()
@@ -99,6 +104,14 @@
 // is one job, however often and wherever it is handed in.
 func (s *Service) Submit(ctx context.Context, q workload.Queue, j workload.Job) error {
 	begun := time.Now()
+	if s.away() {
+		// Nothing is written, so the refusal is certain, and the client may
+		// try another entry at once instead of waiting here until its
+		// deadline for an outcome that can't be known.
+		s.Counters.Refused.Add(1)
+		s.log.Info().Str("job", string(j.ID)).Str("queue", q.Name).Dur("heard", s.config.Heard()).Msg("job refused: the store is away")
+		return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
+	}
 	j.Queue = q
 	j.Accepted = s.clock.Now().Milliseconds()
 	value, err := json.Marshal(j)
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -259,6 +259,7 @@
 	p := &entryProcess{cancel: cancel, service: service, elector: elector, done: make(chan struct{})}
 	e.process = p
 	go rows.Run(ctx, e.Node)
+	go config.Run(ctx)
 	go func() {
 		defer close(p.done)
 		elector.Run(ctx)
--- a/sessions/machines/world_test.go
+++ b/sessions/machines/world_test.go
@@ -1,6 +1,7 @@
 package machines
 
 import (
+	"errors"
 	"os"
 	"testing"
 	"testing/synctest"
@@ -456,3 +457,28 @@
 		}
 	})
 }
+
+// The store answers nobody, and does not say so. A client that hands a job in
+// is refused at once, with a time to come back, and not kept until its
+// deadline for an outcome that can't be known.
+func TestStoreThatIsAwayRefusesAtOnce(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 1}, func(t *testing.T, w *World, c *Client) {
+		w.Store.SetFault("", memstore.Silent)
+		time.Sleep(3 * second)
+		for _, e := range w.Entries() {
+			begun := time.Now()
+			err := e.Service().Submit(t.Context(), queue(), job(1, 1))
+			var unavailable *workload.UnavailableError
+			if !errors.As(err, &unavailable) || unavailable.RetryAfter == 0 {
+				t.Errorf("answer %v", err)
+			}
+			if took := time.Since(begun); took > 50*time.Millisecond {
+				t.Errorf("refused after %v", took)
+			}
+		}
+		w.Store.SetFault("", memstore.Healthy)
+		time.Sleep(3 * second)
+		submit(t, c, job(2, 1))
+		await(t, c, JobID(2), workload.Completed, 10*second)
+	})
+}
