A lease of a process that is gone is taken at once

Cause: after all processes were killed and restarted, the lease named a process that was gone, at an address where the next one answered, so that everybody waited until it had stood still for 2.2 s.

--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -133,7 +133,9 @@
 // due reports whether the lease may be taken: it is free, or its holder has
 // not renewed it for long enough.
 func (e *Elector) due(ctx context.Context, w *watch, lease leaseRow) bool {
-	if w.version == 0 || lease.Released || lease.Process == e.cfg.Process {
+	// A lease of an earlier process of this machine is free, too: a machine
+	// runs one process of an entry.
+	if w.version == 0 || lease.Released || lease.Process == e.cfg.Process || lease.Node == e.cfg.Node {
 		sleep(ctx, rand.N(takeJitter))
 		return true
 	}
@@ -146,6 +148,11 @@
 	e.mu.Unlock()
 	var reply dispatch.StateReply
 	err := link.Call(ctx, "Scheduler.State", dispatch.StateArgs{}, &reply, pingTimeout)
+	if err == nil && reply.Process != lease.Process {
+		// The holder was killed, and its machine runs another process now.
+		sleep(ctx, rand.N(takeJitter))
+		return true
+	}
 	if err == nil || !refusedConnection(err) {
 		w.refused = 0
 		return false
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -80,6 +80,7 @@
 	if t := s.Elector.Term(); t != nil {
 		*reply = t.State(args.ID)
 	}
+	reply.Process = s.Elector.cfg.Process
 	return nil
 }
 
--- a/sessions/machines/world_test.go
+++ b/sessions/machines/world_test.go
@@ -482,3 +482,28 @@
 		await(t, c, JobID(2), workload.Completed, 10*second)
 	})
 }
+
+// All entries are killed and back a second later. The lease names a process
+// that is gone, at an address where another one answers: nobody is to wait
+// until the lease has stood still for two seconds.
+func TestRestartedEntriesTakeTheLeaseAtOnce(t *testing.T) {
+	play(t, Options{Entries: 3, Machines: 1}, func(t *testing.T, w *World, c *Client) {
+		for range 5 {
+			for _, e := range w.Entries() {
+				e.Kill()
+			}
+			time.Sleep(second)
+			for _, e := range w.Entries() {
+				e.Start()
+			}
+			begun := time.Now()
+			for w.Leader() == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took := time.Since(begun); took > 700*time.Millisecond {
+				t.Errorf("%v without a scheduler", took)
+			}
+			time.Sleep(second)
+		}
+	})
+}
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -175,6 +175,8 @@
 // lead; Known is false if it has no such job, which does not prove that there
 // is none.
 type StateReply struct {
+	// Process is the one that answers.
+	Process string
 	Leading bool
 	Known   bool
 	State   workload.State
