Jobs that ended long ago are retired; one pause, one list of changed jobs

Cause: nothing in the store expires by itself, and rows of jobs stayed for ever. Jobs go two minutes after their state can no longer be asked for; their progress row goes last, under the lease, so that none is found without it.

--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -24,8 +24,6 @@
 	Token uint64
 	// MaxLease is the longest lease that the worker grants.
 	MaxLease time.Duration
-	// Guards says that the worker itself refuses what does not fit.
-	Guards bool
 }
 
 // Deps are what a runner uses.
--- a/decide/pressure/model.go
+++ b/decide/pressure/model.go
@@ -176,7 +176,7 @@
 const (
 	// alike is the difference of two serving images of which too little is
 	// known: they are left where they are.
-	alike = 0.0
+	alike = 0
 	// compared is the least number of filling images that must be known of
 	// both.
 	compared = 3
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -76,7 +77,7 @@
 			// After any fault of the feed the row itself is read: a feed may
 			// have been silent while changes were made.
 			listed = listed && !errors.Is(err, rowstore.ErrCompacted) && !errors.Is(err, rowstore.ErrUnknown)
-			sleep(ctx, configRetry)
+			wait.For(ctx, configRetry)
 			continue
 		}
 		if failing {
@@ -105,12 +106,3 @@
 	f.current.Store(c)
 	f.log.Info().Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("services", len(c.Services)).Msg("configuration in force")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -14,6 +14,7 @@
 
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/ops/histogram"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
@@ -162,7 +163,7 @@
 		if ctx.Err() != nil || over {
 			break
 		}
-		sleep(ctx, writePause)
+		wait.For(ctx, writePause)
 	}
 	if uncertain {
 		return undecided
@@ -289,7 +290,7 @@
 
 // again pauses before a repeated read and reports whether there is time.
 func (s *Service) again(ctx context.Context) bool {
-	sleep(ctx, writePause)
+	wait.For(ctx, writePause)
 	return ctx.Err() == nil
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -80,10 +81,10 @@
 	for ctx.Err() == nil {
 		err := s.look(ctx, node, &registered)
 		if err != nil {
-			sleep(ctx, listRetry)
+			wait.For(ctx, listRetry)
 			continue
 		}
-		sleep(ctx, listEvery)
+		wait.For(ctx, listEvery)
 	}
 }
 
@@ -281,12 +282,3 @@
 	}
 	return usable[rand.IntN(len(usable))]
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -72,8 +72,9 @@
 }
 
 type txn struct {
-	puts []rowstore.Put
-	jobs []storedJob
+	puts    []rowstore.Put
+	deletes []rowstore.Key
+	jobs    []storedJob
 }
 
 // storedJob is a job as a transaction stores it.
@@ -106,7 +107,7 @@
 	var x txn
 	size := 0
 	for _, j := range t.dirty {
-		j.dirty = false
+		j.queued = false
 		if j.state.Final() && j.final == 0 {
 			j.final = t.storeNow()
 		}
@@ -123,6 +124,9 @@
 		r.txns = append(r.txns, x)
 	}
 	t.dirty = nil
+	if len(t.retired) > 0 {
+		r.txns = append(r.txns, txn{deletes: t.retiredKeys()})
+	}
 	return r
 }
 
@@ -133,7 +137,7 @@
 	lease.Epoch = t.epoch
 	full := rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
-		Puts:  append([]rowstore.Put{{Key: leaseKey, Value: encode(lease)}}, x.puts...),
+		Puts:  append([]rowstore.Put{{Key: leaseKey, Value: encode(lease)}}, x.puts...), Deletes: x.deletes,
 	}
 	first := t.deps.Now()
 	pause := commitRetry
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -66,7 +67,7 @@
 	for ctx.Err() == nil {
 		row, err := rowstore.Get(ctx, e.deps.Store, leaseKey)
 		if err != nil {
-			sleep(ctx, pollEvery/2)
+			wait.For(ctx, pollEvery/2)
 			continue
 		}
 		lease, ok := e.saw(&w, row)
@@ -77,7 +78,7 @@
 				continue
 			}
 		}
-		sleep(ctx, pollEvery)
+		wait.For(ctx, pollEvery)
 	}
 }
 
@@ -89,7 +90,7 @@
 		if row, err := rowstore.Get(ctx, e.deps.Store, leaseKey); err == nil {
 			e.saw(&w, row)
 		}
-		sleep(ctx, pollEvery/4)
+		wait.For(ctx, pollEvery/4)
 	}
 }
 
@@ -136,7 +137,7 @@
 	// A lease of an earlier process of this machine is free, too: a machine
 	// runs one process of an entry.
 	if w.version == 0 || lease.Released || lease.Process == e.cfg.Process || lease.Node == e.cfg.Node {
-		sleep(ctx, rand.N(takeJitter))
+		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
 	still := e.deps.Now() - w.since
@@ -150,7 +151,7 @@
 	err := link.Call(ctx, "Scheduler.State", dispatch.StateArgs{}, &reply, pingTimeout)
 	if err == nil && reply.Process != lease.Process {
 		// The holder was killed, and its machine runs another process now.
-		sleep(ctx, rand.N(takeJitter))
+		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
 	if err == nil || !refusedConnection(err) {
@@ -230,12 +231,3 @@
 	}
 	return e.link
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -92,8 +92,11 @@
 	final       int64
 	next        int
 	occurrences []*occurrence
-	dirty       bool
-	started     bool
+	// cancelRow says that the store has a cancellation of the job.
+	cancelRow bool
+	// queued says that the job is on the list of what has to be stored.
+	queued  bool
+	started bool
 	// idleSince is when it was first seen that nothing of the job runs.
 	idleSince time.Time
 	// key is the job's place in the order of the last plan.
@@ -128,7 +131,6 @@
 	for j.next < j.spec.Repeat.Count && !now.Before(j.spec.Repeat.Due(j.next)) {
 		j.occurrences = append(j.occurrences, j.newOccurrence(j.next))
 		j.next++
-		j.dirty = true
 	}
 }
 
@@ -168,7 +170,6 @@
 		t.checkpoint = checkpoint
 	}
 	s.waiting++
-	j.dirty = true
 }
 
 // finish notes that a placed task is done, and with it perhaps the job.
@@ -177,7 +178,6 @@
 	t.agent, t.worker, t.checkpoint = "", "", ""
 	t.stopping, t.ordered = false, false
 	s.done++
-	j.dirty = true
 	j.dropComplete()
 }
 
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -333,7 +333,7 @@
 		}
 		t.deps.Log.Info().Stringer("run", r.Run).Str("worker", string(w.id)).Str("why", r.Reason).Msg("run void")
 		t.deps.Counters.Void.Add(1)
-		w.released(r.Run, k.stopping)
+		w.remove(r.Run)
 		if s.advice != nil {
 			delete(s.advice.tickets, w.id)
 		} else {
@@ -387,7 +387,6 @@
 		}
 		w.remove(r)
 	}
-	w.stopping = workload.Resources{}
 	if w.link != nil {
 		// Should the worker come back, all of its runs are compared anew.
 		w.link.since = 0
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -115,7 +115,8 @@
 	}
 	j := t.jobs[id]
 	if j == nil {
-		t.deps.Log.Warn().Str("job", string(id)).Msg("progress of a job that is not there")
+		// The job was being retired when the earlier term ended.
+		t.retired = append(t.retired, id)
 		return
 	}
 	cancelled := j.state == workload.Cancelled
--- /dev/null
+++ b/entry/scheduler/retire.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+const (
+	// retireEvery is the time between two looks for jobs to retire.
+	retireEvery = 10 * time.Second
+	// retireMargin is how much longer than its state can be asked for a job is
+	// kept: a submission may be repeated seconds after its answer, and would
+	// run again if its row were gone.
+	retireMargin = 2 * time.Minute
+	// retireBatch bounds the jobs of one look; each has up to two rows beside
+	// its progress.
+	retireBatch = 40
+)
+
+// oldJob is a job whose rows may go.
+type oldJob struct {
+	id workload.JobID
+	// cancelRow says that it has a row of its cancellation, too.
+	cancelRow bool
+}
+
+// retireLoop deletes the rows of jobs that ended long ago. Nothing in the
+// store expires by itself, and it holds a limited amount.
+func (t *Term) retireLoop() {
+	for {
+		t.sleep(retireEvery)
+		if t.ctx.Err() != nil {
+			return
+		}
+		t.mu.Lock()
+		old := t.endedLongAgo()
+		t.mu.Unlock()
+		gone := t.deleteJobs(old)
+		t.mu.Lock()
+		for _, id := range gone {
+			delete(t.jobs, id)
+			t.retired = append(t.retired, id)
+		}
+		t.mu.Unlock()
+	}
+}
+
+// endedLongAgo lists jobs whose final state is stored, old enough, and of
+// which nothing runs.
+func (t *Term) endedLongAgo() []oldJob {
+	before := t.storeNow() - (t.cfg.StatusFor + retireMargin).Milliseconds()
+	var old []oldJob
+	for id, j := range t.jobs {
+		if !j.stored.Final() || j.final == 0 || j.final > before || j.queued {
+			continue
+		}
+		idle := true
+		j.each(func(_ workload.TaskID, _ *step, k *task) { idle = idle && k.state != taskPlaced })
+		if idle {
+			old = append(old, oldJob{id: id, cancelRow: j.cancelRow})
+		}
+		if len(old) == retireBatch {
+			break
+		}
+	}
+	return old
+}
+
+// deleteJobs deletes the rows of jobs and their cancellations, a transaction
+// for each part, and returns those that are gone. The progress rows go with
+// the next transaction of the term: were they to go first, a job might be
+// found without progress and run again.
+func (t *Term) deleteJobs(old []oldJob) []workload.JobID {
+	parts := map[string][]oldJob{}
+	for _, o := range old {
+		parts[jobPart(o.id)] = append(parts[jobPart(o.id)], o)
+	}
+	var gone []workload.JobID
+	for _, list := range parts {
+		var x rowstore.Txn
+		for _, o := range list {
+			x.Deletes = append(x.Deletes, JobKey(o.id))
+			if o.cancelRow {
+				x.Deletes = append(x.Deletes, CancelKey(o.id))
+			}
+		}
+		if _, err := t.deps.Store.Apply(t.ctx, x); err != nil {
+			t.deps.Log.Info().Err(err).Int("jobs", len(list)).Msg("jobs not retired yet")
+			continue
+		}
+		for _, o := range list {
+			gone = append(gone, o.id)
+		}
+	}
+	if len(gone) > 0 {
+		t.deps.Log.Info().Int("jobs", len(gone)).Msg("jobs retired")
+	}
+	return gone
+}
+
+// retiredKeys takes the progress rows that may go with the next transaction.
+func (t *Term) retiredKeys() []rowstore.Key {
+	n := min(len(t.retired), commitRows)
+	keys := make([]rowstore.Key, 0, n)
+	for _, id := range t.retired[:n] {
+		keys = append(keys, ProgressKey(id))
+	}
+	t.retired = t.retired[n:]
+	return keys
+}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -14,6 +14,7 @@
 
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -89,6 +90,8 @@
 	looks     int
 	// relocated is the same for filling runs.
 	relocated time.Duration
+	// retired are jobs whose rows are deleted but for their progress.
+	retired []workload.JobID
 	// early holds cancellations whose job is not known yet.
 	early map[workload.JobID]bool
 	// validUntil is the end of the term's own validity.
@@ -130,6 +133,7 @@
 	group.Go(t.followAgents)
 	group.Go(t.tick)
 	group.Go(t.adviceLoop)
+	group.Go(t.retireLoop)
 	t.commitLoop()
 	t.cancel()
 	group.Wait()
@@ -143,14 +147,7 @@
 	}
 }
 
-func (t *Term) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-t.ctx.Done():
-	}
-}
+func (t *Term) sleep(d time.Duration) { wait.For(t.ctx, d) }
 
 // storeNow is the store's clock now, in milliseconds. The caller holds mu.
 func (t *Term) storeNow() int64 {
@@ -196,15 +193,10 @@
 
 // mark puts a changed job on the list of what has to be stored.
 func (t *Term) mark(j *job) {
-	if !j.dirty {
-		j.dirty = true
-	}
-	for _, d := range t.dirty {
-		if d == j {
-			return
-		}
+	if !j.queued {
+		j.queued = true
+		t.dirty = append(t.dirty, j)
 	}
-	t.dirty = append(t.dirty, j)
 }
 
 // addJob takes a job that is stored.
@@ -233,6 +225,7 @@
 		t.early[id] = true
 		return
 	}
+	j.cancelRow = true
 	if j.state.Final() {
 		return
 	}
@@ -263,11 +256,10 @@
 	if w == nil || w.link == nil {
 		return
 	}
-	w.stopping = w.stopping.Add(w.reservedOf(workload.RunID{Task: id, Run: k.run}))
 	w.link.addStop(workload.RunID{Task: id, Run: k.run})
 }
 
-// EndReached is called for each end that an agent reports.
+// applyEnd takes an end that an agent reports.
 func (t *Term) applyEnd(w *worker, e workload.End) {
 	t.deps.Counters.Ends.Add(1)
 	j := t.jobs[e.Run.Task.Job]
@@ -347,7 +339,6 @@
 		k.state = taskDone
 		s.done++
 	}
-	j.dirty = true
 	j.dropComplete()
 }
 
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -29,8 +29,6 @@
 	serving  int
 	// fills sums the CPU of filling runs by image.
 	fills map[string]int
-	// stopping is the part of used that is being stopped.
-	stopping workload.Resources
 	// kept is room for tasks that are to move here.
 	kept map[workload.TaskID]keptRoom
 	// processed is the highest end applied, stored the highest whose effect
@@ -102,8 +100,6 @@
 	return images
 }
 
-func (w *worker) reservedOf(r workload.RunID) workload.Resources { return w.runs[r].counted }
-
 // remove frees the room of a run.
 func (w *worker) remove(r workload.RunID) {
 	v, ok := w.runs[r]
@@ -119,17 +115,6 @@
 	if v.serves {
 		w.serving--
 	}
-	if len(w.runs) == 0 {
-		w.stopping = workload.Resources{}
-	}
-}
-
-// released is remove for a run that was being stopped.
-func (w *worker) released(r workload.RunID, stopping bool) {
-	if stopping {
-		w.stopping = w.stopping.Sub(w.reservedOf(r))
-	}
-	w.remove(r)
 }
 
 // candidate is the worker as the placement sees it.
--- a/infra/rowstore/memstore/memstore.go
+++ b/infra/rowstore/memstore/memstore.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/wait"
 )
 
 // Fault is what happens to the calls of one client.
@@ -105,6 +106,19 @@
 	return s.reads, s.writes
 }
 
+// Rows counts the rows of a table.
+func (s *Store) Rows(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k := range s.rows {
+		if k.Table == table {
+			n++
+		}
+	}
+	return n
+}
+
 // Client returns the store as the named client sees it.
 func (s *Store) Client(name string) rowstore.Store { return &client{store: s, name: name} }
 
@@ -127,13 +141,13 @@
 	s.mu.Unlock()
 	switch fault {
 	case Refused:
-		pause(ctx, answerTime)
+		wait.For(ctx, answerTime)
 		return rowstore.ErrUnavailable
 	case Silent:
-		pause(ctx, silence)
+		wait.For(ctx, silence)
 		return rowstore.ErrUnknown
 	}
-	if !pause(ctx, took) {
+	if !wait.For(ctx, took) {
 		return rowstore.ErrUnknown
 	}
 	return nil
@@ -263,15 +277,3 @@
 	}
 	return rows
 }
-
-// pause waits and reports whether it was not interrupted.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/sessions/machines/control.go
+++ b/sessions/machines/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/infra/workerctl"
 	"persimmonrock.example/structs/workload"
 )
@@ -19,7 +20,7 @@
 
 func (c *control) worker(ctx context.Context) (*Worker, error) {
 	if c.dead.Load() {
-		pause(ctx, silence)
+		wait.For(ctx, silence)
 		return nil, workerctl.ErrUnknown
 	}
 	return c.agent.Worker(), nil
--- a/sessions/machines/policy.go
+++ b/sessions/machines/policy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"persimmonrock.example/infra/policy"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -33,7 +34,7 @@
 
 // Advise implements policy.Advisor.
 func (a *advisor) Advise(ctx context.Context, s policy.Step, workers []workload.WorkerID) (policy.Answer, error) {
-	if !pause(ctx, decideTime+time.Duration(len(workers))*eachWorker) {
+	if !wait.For(ctx, decideTime+time.Duration(len(workers))*eachWorker) {
 		return policy.Answer{}, ctx.Err()
 	}
 	a.mu.Lock()
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/infra/workerctl"
 	"persimmonrock.example/structs/workload"
 )
@@ -167,10 +168,10 @@
 		if late {
 			time.AfterFunc(delay, do)
 		}
-		pause(ctx, silence)
+		wait.For(ctx, silence)
 		return workerctl.ErrUnknown
 	}
-	if !pause(ctx, answerTime) {
+	if !wait.For(ctx, answerTime) {
 		return workerctl.ErrUnknown
 	}
 	if life != w.info.ID {
@@ -366,15 +367,3 @@
 }
 
 func (w *Worker) String() string { return fmt.Sprintf("worker %s", w.info.ID) }
-
-// pause waits and reports whether it was not interrupted.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -24,6 +24,7 @@
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -328,7 +329,7 @@
 	if !c.world.isCut(c.node) {
 		return false
 	}
-	pause(ctx, dialSilence)
+	wait.For(ctx, dialSilence)
 	return true
 }
 
--- a/sessions/machines/world_test.go
+++ b/sessions/machines/world_test.go
@@ -507,3 +507,29 @@
 		}
 	})
 }
+
+// Nothing in the store expires by itself. Jobs that ended long ago are
+// deleted, also by a scheduler that begins its term in between, and those that
+// still run or can be asked for are kept.
+func TestOldJobsAreRetired(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 2}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, lastingJob(100, 1))
+		for n := range 8 {
+			submit(t, c, job(n, 2))
+		}
+		c.Cancel(JobID(3))
+		await(t, c, JobID(7), workload.Completed, 20*second)
+		time.Sleep(110 * second)
+		if s := c.State(JobID(7)); s != workload.Completed {
+			t.Errorf("after 110 s the job is %q", s)
+		}
+		w.Leader().Kill()
+		time.Sleep(5 * time.Minute)
+		if left := w.Store.Rows("jobs") + w.Store.Rows("progress"); left != 2 {
+			t.Errorf("%d rows are left, not the two of the lasting job", left)
+		}
+		if s := c.State(JobID(100)); s != workload.Running {
+			t.Errorf("the lasting job is %q", s)
+		}
+	})
+}
