--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -85,22 +85,21 @@
 }
 
 // mayMove reports whether a task may be taken away for a moment: it has been
-// at work for long enough, and not more of its step are away than may be.
+// at work for long enough, and so have the others of its step. Steps that
+// bound how many may be away are left alone: others may be away for causes
+// that the scheduler does not see yet.
 func (t *Term) mayMove(j *job, s *step, k *task, now time.Time) bool {
-	if !k.ordered || k.stopping || k.moves >= relocatePerTask || now.Sub(k.placedAt) < regroupAfter || j.queue.Advised || s.spec.Gang {
+	if !k.ordered || k.stopping || k.moves >= relocatePerTask || now.Sub(k.placedAt) < regroupAfter || j.queue.Advised || s.spec.Gang ||
+		s.spec.MayMiss > 0 {
 		return false
 	}
-	away := 0
 	for i := range s.tasks {
 		other := &s.tasks[i]
 		if other != k && (other.state != taskPlaced || other.stopping || now.Sub(other.placedAt) < regroupAfter) {
-			away++
+			return false
 		}
 	}
-	if s.spec.MayMiss > 0 {
-		return away < s.spec.MayMiss
-	}
-	return away == 0
+	return true
 }
 
 // barredFor are the workers that may not take a task, whatever their room.
