--- /dev/null
+++ b/sessions/machines/jobs_test.go
@@ -0,0 +1,154 @@
+package machines
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/structs/workload"
+)
+
+// A queue's policy permits only some workers, and the service that knows them
+// takes its time. Tickets hold for three seconds, and workers refuse starts
+// without one.
+func TestQueueThatNeedsAdvice(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 5}, func(t *testing.T, w *World, c *Client) {
+		for n := range 6 {
+			j := job(n, 4)
+			j.Queue.Advised = true
+			submit(t, c, j)
+			time.Sleep(second)
+		}
+		for n := range 6 {
+			await(t, c, JobID(n), workload.Completed, 20*second)
+		}
+	})
+}
+
+// Members of a gang work only together: all of them or none are placed, with
+// one run number, and one end stands for all.
+func TestGangIsPlacedWhole(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 2, Capacity: workload.Resources{CPU: 8000, Memory: 64000}}, func(t *testing.T, w *World, c *Client) {
+		j := job(1, 6)
+		j.Steps[0].Gang = true
+		submit(t, c, job(2, 6))
+		submit(t, c, j)
+		await(t, c, JobID(1), workload.Completed, 20*second)
+		await(t, c, JobID(2), workload.Completed, 20*second)
+	})
+}
+
+// A job that is due at times runs once for each, and not before.
+func TestRepeatedJob(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 2}, func(t *testing.T, w *World, c *Client) {
+		j := job(1, 2)
+		begun := time.Now()
+		j.Repeat = workload.Repeat{Count: 3, First: begun.Add(2 * second).UnixMilli(), Interval: 4000}
+		submit(t, c, j)
+		if took := await(t, c, JobID(1), workload.Completed, 30*second); took < 10*second || took > 14*second {
+			t.Errorf("three times with 4 s between took %v", took)
+		}
+		if w.Rules.Started != 12 {
+			t.Errorf("%d starts for 12 tasks", w.Rules.Started)
+		}
+	})
+}
+
+// A worker is about to leave. Nothing more starts there, and its lasting
+// tasks go on elsewhere before it ends.
+func TestLeavingWorkerIsEvacuated(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 3}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, lastingJob(1, 6))
+		time.Sleep(2 * second)
+		leaving := w.Agents()[0].Worker()
+		leaving.Drain()
+		time.Sleep(3 * second)
+		if runs := leaving.Running(); len(runs) > 0 {
+			t.Errorf("still there: %v", runs)
+		}
+		running := 0
+		for _, a := range w.Agents() {
+			running += len(a.Worker().Running())
+		}
+		if running != 6 {
+			t.Errorf("%d of 6 lasting tasks run", running)
+		}
+	})
+}
+
+// The store answers nobody, and does not say so. A client that hands a job in
+// is refused at once, with a time to come back, and not kept until its
+// deadline for an outcome that can't be known.
+func TestStoreThatIsAwayRefusesAtOnce(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 1}, func(t *testing.T, w *World, c *Client) {
+		w.Store.SetFault("", memstore.Silent)
+		time.Sleep(3 * second)
+		for _, e := range w.Entries() {
+			begun := time.Now()
+			err := e.Service().Submit(t.Context(), queue(), job(1, 1))
+			var unavailable *workload.UnavailableError
+			if !errors.As(err, &unavailable) || unavailable.RetryAfter == 0 {
+				t.Errorf("answer %v", err)
+			}
+			if took := time.Since(begun); took > 50*time.Millisecond {
+				t.Errorf("refused after %v", took)
+			}
+		}
+		w.Store.SetFault("", memstore.Healthy)
+		time.Sleep(3 * second)
+		submit(t, c, job(2, 1))
+		await(t, c, JobID(2), workload.Completed, 10*second)
+	})
+}
+
+// All entries are killed and back a second later. The lease names a process
+// that is gone, at an address where another one answers: nobody is to wait
+// until the lease has stood still for two seconds.
+func TestRestartedEntriesTakeTheLeaseAtOnce(t *testing.T) {
+	play(t, Options{Entries: 3, Machines: 1}, func(t *testing.T, w *World, c *Client) {
+		for range 5 {
+			for _, e := range w.Entries() {
+				e.Kill()
+			}
+			time.Sleep(second)
+			for _, e := range w.Entries() {
+				e.Start()
+			}
+			begun := time.Now()
+			for w.Leader() == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took := time.Since(begun); took > 700*time.Millisecond {
+				t.Errorf("%v without a scheduler", took)
+			}
+			time.Sleep(second)
+		}
+	})
+}
+
+// Nothing in the store expires by itself. Jobs that ended long ago are
+// deleted, also by a scheduler that begins its term in between, and those that
+// still run or can be asked for are kept.
+func TestOldJobsAreRetired(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 2}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, lastingJob(100, 1))
+		for n := range 8 {
+			submit(t, c, job(n, 2))
+		}
+		c.Cancel(JobID(3))
+		await(t, c, JobID(7), workload.Completed, 20*second)
+		time.Sleep(110 * second)
+		if s := c.State(JobID(7)); s != workload.Completed {
+			t.Errorf("after 110 s the job is %q", s)
+		}
+		w.Leader().Kill()
+		time.Sleep(5 * time.Minute)
+		if left := w.Store.Rows("jobs") + w.Store.Rows("progress"); left != 2 {
+			t.Errorf("%d rows are left, not the two of the lasting job", left)
+		}
+		if s := c.State(JobID(100)); s != workload.Running {
+			t.Errorf("the lasting job is %q", s)
+		}
+	})
+}
