--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -37,7 +37,7 @@
 	// dropped and counted.
 	logLines = 2000
 	// logsPerSecond bounds the lines of a process. At the load of today an
-	// entry that schedules writes about 150 a second; each costs some 10 µs.
+	// entry that schedules writes up to 273 in a second.
 	logsPerSecond = 500
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
