Serving tasks are placed by how differently the images there are pressed on

Cause: the placement counted the other serving images on a worker, also those on which the same filling work presses, and so mixed those that differ as readily as those that don't.

--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -20,9 +20,9 @@
 	Presses bool
 	// Serving is the number of tasks with a tail target there.
 	Serving int
-	// OtherImages is, for a serving step, the number of images of other
-	// serving tasks there.
-	OtherImages int
+	// Mix is, for a serving step, how differently the images of the serving
+	// tasks there and its own are pressed on, summed over the images.
+	Mix float64
 	// SameImage says that tasks of the step's image serve there.
 	SameImage bool
 	Rack      string
@@ -136,7 +136,7 @@
 	case s.Fills:
 		return share(unused(w)-w.FillLoad, w.Capacity.CPU) - pressurePenalty*max(0, w.Pressed-pressureFree)
 	case s.TailTarget > 0:
-		free = -free - fillPenalty*share(w.FillLoad, w.Capacity.CPU) - mixPenalty*float64(w.OtherImages)
+		free = -free - fillPenalty*share(w.FillLoad, w.Capacity.CPU) - mixPenalty*w.Mix
 		if w.SameImage {
 			free += sameBonus
 		}
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -54,7 +54,7 @@
 		{"not where it failed", plain, 0, []Candidate{worker(), half}, 1},
 		{"serving tasks together", serves, -1, []Candidate{worker(), change(func(c *Candidate) { c.Serving = 2; c.Free.CPU = 6000 })}, 1},
 		{"serving tasks by image", serves, -1, []Candidate{
-			change(func(c *Candidate) { c.Serving = 2; c.OtherImages = 1 }), change(func(c *Candidate) { c.Serving = 2; c.SameImage = true }),
+			change(func(c *Candidate) { c.Serving = 2; c.Mix = 1 }), change(func(c *Candidate) { c.Serving = 2; c.SameImage = true }),
 		}, 1},
 		{"others beside serving tasks", plain, -1, []Candidate{worker(), change(func(c *Candidate) { c.Serving = 1; c.Free.CPU = 9000 })}, 1},
 		{"filling work needs no counted room", fills, -1, []Candidate{change(func(c *Candidate) { c.Free.CPU = 0 })}, 0},
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -134,7 +134,7 @@
 			defer v.barPressed(s.spec)()
 		}
 	case s.spec.TailTarget > 0:
-		v.countImages(s.spec)
+		t.mix(v, s.spec)
 	}
 	now := time.Now()
 	for i := range s.tasks {
@@ -258,17 +258,25 @@
 	}
 }
 
-// countImages tells the serving images on each candidate apart from s's.
-func (v *view) countImages(s *workload.Step) {
+// unlike is the difference of two serving images of which too little is known
+// to tell: about half of all pairs differ.
+const unlike = 0.6
+
+// mix sets how the serving images on each candidate mix with s's.
+func (t *Term) mix(v *view, s *workload.Step) {
 	for i, w := range v.workers {
 		c := &v.candidates[i]
-		c.OtherImages, c.SameImage = 0, false
+		c.Mix, c.SameImage = 0, false
 		for image := range w.servingImages() {
 			if image == s.Image {
 				c.SameImage = true
-			} else {
-				c.OtherImages++
+				continue
+			}
+			d, known := t.learner.model.Difference(image, s.Image)
+			if !known {
+				d = unlike
 			}
+			c.Mix += d
 		}
 	}
 }
