What schedulers have learnt of the images is kept in the store

Cause: each new scheduler learnt all pairs of images anew, for ten seconds and more, and placed filling work beside serving tasks on which it presses.

--- a/decide/pressure/guess_test.go
+++ b/decide/pressure/guess_test.go
@@ -67,3 +67,24 @@
 		t.Errorf("a minute after the pair has changed: %+v", w)
 	}
 }
+
+// What is kept for the time after a restart says the same of every pair, and
+// a kept row that was damaged does no harm.
+func TestWhatIsLearntOutlivesTheProcess(t *testing.T) {
+	var before, after Model
+	observe(&before, "a", "f1", 2)
+	observe(&before, "a", "f2", 0)
+	observe(&before, "b", "f1", 0.5)
+	before.Solve(time.Second)
+	after.Import(before.Export())
+	for _, l := range before.Export() {
+		w, o := before.Weight(l.Pair), after.Weight(l.Pair)
+		if w.Known != o.Known || w.Value-o.Value > 0.3 || o.Value-w.Value > 0.3 {
+			t.Errorf("%v: %+v before, %+v after", l.Pair, w, o)
+		}
+	}
+	after.Import([]Learnt{{Pair: Pair{"a", "f1"}, Value: -1, Evidence: 1e9}, {Pair: Pair{"c", "f1"}, Value: 1e9, Evidence: 1e9}})
+	if w := after.Weight(Pair{"c", "f1"}); w.Value > highestWeight {
+		t.Errorf("a damaged record gives %+v", w)
+	}
+}
--- a/decide/pressure/model.go
+++ b/decide/pressure/model.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -212,3 +213,48 @@
 	}
 	return all
 }
+
+// Learnt is what is known of one pair by its own samples, as it is kept for
+// the time after a restart.
+type Learnt struct {
+	Pair
+	// Value is the weight, Evidence how much it counts.
+	Value    float64
+	Evidence float64
+}
+
+// leastEvidence is the evidence below which a pair is not worth keeping.
+const leastEvidence = 0.005
+
+// Export returns what is known.
+func (m *Model) Export() []Learnt {
+	var all []Learnt
+	for serving, e := range m.serving {
+		for filling, i := range e.index {
+			if e.squares[i][i] >= leastEvidence {
+				all = append(all, Learnt{Pair: Pair{Serving: serving, Filling: filling}, Value: e.weights[i], Evidence: e.squares[i][i]})
+			}
+		}
+	}
+	sort.Slice(all, func(i, k int) bool {
+		a, b := all[i].Pair, all[k].Pair
+		return a.Serving < b.Serving || a.Serving == b.Serving && a.Filling < b.Filling
+	})
+	return all
+}
+
+// Import adds what an earlier process knew.
+func (m *Model) Import(all []Learnt) {
+	for _, l := range all {
+		if l.Evidence <= 0 || l.Value < 0 {
+			continue
+		}
+		used := math.Sqrt(min(l.Evidence, mostEvidence))
+		m.Observe(Sample{Serving: l.Serving, Load: used * min(l.Value, highestWeight), Used: map[string]float64{l.Filling: used}, Count: 1})
+	}
+	m.Solve(0)
+}
+
+// mostEvidence bounds what is taken from an earlier process, so that a pair
+// that has changed since is learnt anew soon.
+const mostEvidence = 0.3
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -106,6 +106,10 @@
 	}
 	var x txn
 	size := 0
+	if put, due := t.learnt(); due {
+		x.puts = append(x.puts, put)
+		size += len(put.Value)
+	}
 	for _, j := range t.dirty {
 		j.queued = false
 		if j.state.Final() && j.final == 0 {
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -55,12 +55,17 @@
 	used  map[string]float64
 }
 
-// take learns from a worker's sample.
-func (l *learner) take(w *worker, s *dispatch.TailSample, now time.Duration) {
+// begin makes the learner ready for use.
+func (l *learner) begin() {
 	if l.latest == nil {
 		l.latest = map[workload.WorkerID]timedSample{}
 		l.base = map[string]float64{}
 	}
+}
+
+// take learns from a worker's sample.
+func (l *learner) take(w *worker, s *dispatch.TailSample, now time.Duration) {
+	l.begin()
 	this := timedSample{at: now, tails: map[workload.JobID]float64{}, used: map[string]float64{}}
 	for _, f := range s.Filling {
 		if f.Used > 0 {
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -31,6 +31,10 @@
 	if err != nil {
 		return 0, err
 	}
+	learnt, err := t.listAll(learntTable, schedulerPart)
+	if err != nil {
+		return 0, err
+	}
 	jobs, stamp, err := t.listJobs()
 	if err != nil {
 		return 0, err
@@ -38,6 +42,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.takeJobs(jobs)
+	for _, row := range learnt {
+		t.recall(row)
+	}
 	now := time.Now()
 	for _, row := range progress {
 		t.takeProgress(row, now)
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -20,6 +20,8 @@
 	// progressTable holds what has become of each job. Only the scheduler
 	// writes it, in one part together with its lease.
 	progressTable = "progress"
+	// learntTable holds what schedulers have learnt of the images.
+	learntTable   = "learnt"
 	leaseTable    = "scheduler"
 	schedulerPart = "s"
 )
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -82,6 +82,9 @@
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
 	learner learner
+	// keptVersion and keptAt tell what of the learner is on record.
+	keptVersion uint64
+	keptAt      time.Duration
 	// queues are those of the configuration of version queuesOf.
 	queues   map[string]workload.Queue
 	queuesOf uint64
