An entry on a much stronger machine asks for the scheduler's lease

Change: the lease row tells its holder's processor; an entry with 1.5 times as much, steady for 3 s, asks; the holder ends its term and releases the lease for it, and others wait a second for the heir.

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -55,7 +55,7 @@
 	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig}, p.log, sinceBoot)
 	counters := &scheduler.Counters{}
 	elector := scheduler.NewElector(scheduler.Config{
-		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(),
+		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(), Power: p.settings.Cores,
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
 	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Link: dispatch.NewLink, Policy: p.advisor(), Counters: counters})
 	service := intake.New(rows, config, elector, intake.NewStoreClock(sinceBoot), p.log)
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -263,6 +263,7 @@
 	lease.Count++
 	lease.Epoch = t.epoch
 	lease.Released = true
+	lease.Heir = t.heirNode()
 	_, err := t.deps.Store.Apply(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
 		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -57,6 +57,11 @@
 	// since is when this version was first seen, last the latest look.
 	since time.Duration
 	last  time.Duration
+	// begun is when the looks that all succeeded began, asked when the lease
+	// was last asked for, heirUntil until when it is expected.
+	begun     time.Duration
+	asked     time.Duration
+	heirUntil time.Duration
 	// refused is when the holder's address first refused a connection.
 	refused time.Duration
 }
@@ -78,6 +83,13 @@
 				continue
 			}
 		}
+		if ok && e.askForLease(ctx, &w, lease) {
+			w.heirUntil = e.deps.Now() + heirFor
+		}
+		if e.deps.Now() < w.heirUntil {
+			wait.For(ctx, heirPoll)
+			continue
+		}
 		wait.For(ctx, pollEvery)
 	}
 }
@@ -101,6 +113,9 @@
 		w.version, w.since = row.Version, now
 		w.refused = 0
 	}
+	if w.begun == 0 || now-w.last > lookGap {
+		w.begun = now
+	}
 	w.last = now
 	var lease leaseRow
 	if row.Version == 0 {
@@ -134,13 +149,16 @@
 // due reports whether the lease may be taken: it is free, or its holder has
 // not renewed it for long enough.
 func (e *Elector) due(ctx context.Context, w *watch, lease leaseRow) bool {
+	still := e.deps.Now() - w.since
+	if lease.Released && e.keptForHeir(lease, still) {
+		return false
+	}
 	// A lease of an earlier process of this machine is free, too: a machine
 	// runs one process of an entry.
 	if w.version == 0 || lease.Released || lease.Process == e.cfg.Process || lease.Node == e.cfg.Node {
 		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
-	still := e.deps.Now() - w.since
 	if still >= stillFor {
 		return true
 	}
@@ -166,7 +184,7 @@
 
 // take writes the lease under the condition of the version that was seen.
 func (e *Elector) take(ctx context.Context, row rowstore.Row) *Term {
-	lease := leaseRow{Node: e.cfg.Node, Process: e.cfg.Process, Address: e.cfg.Address, Count: rand.Uint64() >> 1}
+	lease := leaseRow{Node: e.cfg.Node, Process: e.cfg.Process, Address: e.cfg.Address, Count: rand.Uint64() >> 1, Power: e.cfg.Power}
 	sent := e.deps.Now()
 	stamp, err := e.deps.Store.Apply(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: row.Version}},
@@ -201,7 +219,7 @@
 	e.term = nil
 	e.mu.Unlock()
 	e.deps.Log.Info().Uint64("epoch", term.epoch).Msg("term ended")
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || term.heirNode() != "" {
 		released, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancel()
 		term.release(released)
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -79,6 +79,10 @@
 	Epoch uint64 `json:"e,omitempty"`
 	// Released says that the scheduler has ended its term by itself.
 	Released bool `json:"r,omitempty"`
+	// Power is the processor of the holder's machine, in cores.
+	Power float64 `json:"w,omitempty"`
+	// Heir is the node for which a released lease is kept for a moment.
+	Heir string `json:"h,omitempty"`
 }
 
 // progressRow is what the store keeps of a job beside the job itself.
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -91,3 +91,11 @@
 	}
 	return nil
 }
+
+// Yield implements the call of that name.
+func (s *Service) Yield(args dispatch.YieldArgs, reply *dispatch.YieldReply) error {
+	if t := s.Elector.Term(); t != nil && args.Process == s.Elector.cfg.Process {
+		reply.Agreed = t.yield(args.Heir)
+	}
+	return nil
+}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -24,6 +24,8 @@
 	Node    string
 	Process string
 	Address string
+	// Power is the processor of the machine, in cores; 0 is not known.
+	Power float64
 	// Grant is how long after an agent's last word its worker's lease may
 	// last.
 	Grant time.Duration
@@ -100,6 +102,8 @@
 	// validUntil is the end of the term's own validity.
 	validUntil time.Duration
 	loaded     bool
+	// heir is the node to which the lease is handed, if any.
+	heir string
 
 	lease        leaseRow
 	leaseVersion uint64
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -34,6 +34,9 @@
 	Seed     uint64
 	Entries  int
 	Machines int
+	// Power is the processor of each entry's machine in cores; an entry
+	// without one has none named.
+	Power []float64
 	// Capacity is that of each worker.
 	Capacity workload.Resources
 	// Outcome tells how runs behave.
@@ -130,6 +133,16 @@
 	return nil
 }
 
+// power is the processor of an entry's machine.
+func (w *World) power(e *Entry) float64 {
+	for i, x := range w.entries {
+		if x == e && i < len(w.opt.Power) {
+			return w.opt.Power[i]
+		}
+	}
+	return 0
+}
+
 // now is a clock of the world.
 func (w *World) now() time.Duration { return time.Since(w.began) + time.Second }
 
@@ -248,7 +261,7 @@
 	rows := relay.New(direct, e.Node, w.link(e.Node), log)
 	config := intake.NewFollower(rows, noConfig, log, w.now)
 	elector := scheduler.NewElector(scheduler.Config{
-		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Grant: grant, StatusFor: 2 * time.Minute,
+		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Power: w.power(e), Grant: grant, StatusFor: 2 * time.Minute,
 	}, scheduler.Deps{
 		Store: rows, Log: log, Now: w.now, Config: config.Current, Link: w.link(e.Node), Policy: w.advisor, Counters: &scheduler.Counters{},
 	})
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -182,6 +182,18 @@
 	State   workload.State
 }
 
+// YieldArgs asks the scheduler to hand its lease to an entry on a stronger
+// machine.
+type YieldArgs struct {
+	// Process is the scheduler that is meant.
+	Process string
+	// Heir is the node of the entry that asks.
+	Heir string
+}
+
+// YieldReply says whether the lease is about to be released.
+type YieldReply struct{ Agreed bool }
+
 // WaitingArgs asks for the jobs of a queue of which nothing has started.
 type WaitingArgs struct{ Queue string }
 
