The direct way to the store is probed beside the calls

Ruled out: the lease (it was held all the while). Change: once the direct way has failed it is only probed, beside the calls; the entry that helped last is asked first, one that did not is left alone for longer each time.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -21,11 +21,15 @@
 const (
 	// callTimeout bounds a call through another entry beside its own wait.
 	callTimeout = 900 * time.Millisecond
-	// preferFor is how long after a failure of the direct way another entry
-	// is asked first.
-	preferFor = time.Second
-	// avoidFor is how long an entry that could not help is left alone.
+	// probeEvery is the time between two tries of the direct way while it is
+	// lost. They are made beside the calls: a machine that is cut off from
+	// the store learns so only by a time-out, and calls that tried the direct
+	// way now and then waited 0.8 s for it.
+	probeEvery = 300 * time.Millisecond
+	// avoidFor is how long an entry that could not help is left alone; it
+	// doubles with each failure in a row, up to maxAvoid.
 	avoidFor = time.Second
+	maxAvoid = 8 * time.Second
 	// listEvery is the time between two looks at the list of entries.
 	listEvery = 5 * time.Second
 	// listRetry is the pause after a look that failed.
@@ -52,15 +56,23 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// badUntil is until when the direct way is tried last.
-	badUntil time.Time
+	// lost says that the direct way has failed, and is tried beside the calls.
+	lost bool
+	// last is the entry that helped last.
+	last *peer
+
+	// wake tells Run's probe that the direct way is lost.
+	wake chan struct{}
 
 	relayed atomic.Int64
 }
 
 type peer struct {
-	link  *dispatch.Link
-	avoid time.Time
+	link *dispatch.Link
+	// avoid is until when it is left alone, failures how often it failed in
+	// a row.
+	avoid    time.Time
+	failures int
 }
 
 var _ rowstore.Store = (*Store)(nil)
@@ -68,7 +80,7 @@
 // New returns a store that uses direct first. address is this entry's own.
 // link makes the link to another entry.
 func New(direct rowstore.Store, address string, link func(address string) *dispatch.Link, log zerolog.Logger) *Store {
-	return &Store{direct: direct, own: address, log: log, link: link, peers: map[string]*peer{}}
+	return &Store{direct: direct, own: address, log: log, link: link, peers: map[string]*peer{}, wake: make(chan struct{}, 1)}
 }
 
 // Relayed counts the calls that other entries made for this one.
@@ -77,6 +89,7 @@
 // Run registers this entry under node and keeps the list of the others until
 // ctx ends.
 func (s *Store) Run(ctx context.Context, node string) {
+	go s.probeLoop(ctx)
 	registered := false
 	for ctx.Err() == nil {
 		err := s.look(ctx, node, &registered)
@@ -208,74 +221,113 @@
 	return errors.Is(err, rowstore.ErrUnavailable) || errors.Is(err, rowstore.ErrUnknown)
 }
 
-// either tries both ways, the direct one first unless it has just failed. A
-// transaction that is tried twice carries conditions, so that at most one
-// attempt takes effect.
+// either tries the direct way, and then another entry; while the direct way is
+// lost, two other entries. A transaction that is tried twice carries
+// conditions, so that at most one attempt takes effect.
 func (s *Store) either(ctx context.Context, direct func() error, through func(*dispatch.Link) error) error {
-	p := s.choose()
+	straight := func() error { return s.straight(ctx, direct) }
+	p := s.choose(nil)
 	if p == nil {
-		return direct()
+		return straight()
 	}
-	ways := [2]func() error{func() error { return s.straight(ctx, direct) }, func() error { return s.via(p, through) }}
-	if s.bad() {
-		ways[0], ways[1] = ways[1], ways[0]
+	first, second := straight, func() error { return s.via(p, through) }
+	if s.isLost() {
+		first = second
+		second = straight
+		if other := s.choose(p); other != nil {
+			second = func() error { return s.via(other, through) }
+		}
 	}
-	first := ways[0]()
-	if !away(first) || ctx.Err() != nil {
-		return first
+	err := first()
+	if !away(err) || ctx.Err() != nil {
+		return err
 	}
-	second := ways[1]()
-	if away(second) && errors.Is(first, rowstore.ErrUnknown) {
-		return first
+	again := second()
+	if away(again) && errors.Is(err, rowstore.ErrUnknown) {
+		return err
 	}
-	return second
+	return again
 }
 
 func (s *Store) straight(ctx context.Context, direct func() error) error {
 	err := direct()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	was := !s.badUntil.IsZero()
-	switch {
-	case away(err) && ctx.Err() == nil:
-		s.badUntil = time.Now().Add(preferFor)
-		if !was {
-			s.log.Warn().Err(err).Msg("store lost; other entries are asked")
+	if away(err) && ctx.Err() == nil && !s.lost {
+		s.lost = true
+		s.log.Warn().Err(err).Msg("store lost; other entries are asked")
+		select {
+		case s.wake <- struct{}{}:
+		default:
 		}
-	case err == nil && was:
-		s.badUntil = time.Time{}
-		s.log.Info().Msg("store regained")
 	}
 	return err
 }
 
-func (s *Store) bad() bool {
+// probeLoop probes the direct way whenever it is lost.
+func (s *Store) probeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			s.probe(ctx)
+		}
+	}
+}
+
+// probe tries the direct way until it works again.
+func (s *Store) probe(ctx context.Context) {
+	key := rowstore.Key{Table: entriesTable, Part: entriesPart, Key: s.own}
+	for ctx.Err() == nil {
+		wait.For(ctx, probeEvery)
+		if _, err := rowstore.Get(ctx, s.direct, key); err != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.lost = false
+		s.mu.Unlock()
+		s.log.Info().Msg("store regained")
+		return
+	}
+}
+
+func (s *Store) isLost() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.badUntil)
+	return s.lost
 }
 
 func (s *Store) via(p *peer, through func(*dispatch.Link) error) error {
 	s.relayed.Add(1)
 	err := through(p.link)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if away(err) {
-		s.mu.Lock()
-		p.avoid = time.Now().Add(avoidFor)
-		s.mu.Unlock()
+		p.avoid = time.Now().Add(min(maxAvoid, avoidFor<<min(p.failures, 3)))
+		p.failures++
+		return err
 	}
+	p.failures = 0
+	s.last = p
 	return err
 }
 
-// choose returns another entry that is not known to be of no help, or nil.
-func (s *Store) choose() *peer {
+// choose returns another entry that is not known to be of no help, the one
+// that helped last first, or nil.
+func (s *Store) choose(except *peer) *peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	var usable []*peer
 	for _, p := range s.peers {
-		if now.After(p.avoid) {
-			usable = append(usable, p)
+		if p == except || now.Before(p.avoid) {
+			continue
+		}
+		if p == s.last {
+			return p
 		}
+		usable = append(usable, p)
 	}
 	if len(usable) == 0 {
 		return nil
--- a/sessions/machines/world_test.go
+++ b/sessions/machines/world_test.go
@@ -261,6 +261,30 @@
 	}
 }
 
+// The scheduler's machine is cut off from the store for ten seconds, and does
+// not hear so: its calls get no answer. Another entry makes them. Calls that
+// tried the direct way now and then would wait for its time-out each time, and
+// with them every start.
+func TestSchedulerCutOffFromTheStoreGoesOn(t *testing.T) {
+	play(t, Options{Entries: 3, Machines: 4}, func(t *testing.T, w *World, c *Client) {
+		leader := w.Leader()
+		w.Store.SetFault(leader.Node, memstore.Silent)
+		time.Sleep(4 * second)
+		slow := 0
+		for n := range 8 {
+			submit(t, c, job(n, 2))
+			if took := await(t, c, JobID(n), workload.Completed, 10*second); took > 3*second {
+				slow++
+			}
+		}
+		if slow > 1 {
+			t.Errorf("%d of 8 jobs of two seconds took more than three", slow)
+		}
+		w.Store.SetFault(leader.Node, memstore.Healthy)
+		time.Sleep(2 * second)
+	})
+}
+
 // The store answers nobody for a while. Nothing is accepted, nothing that was
 // accepted is lost, and running tasks go on under their leases.
 func TestStoreOutage(t *testing.T) {
