--- a/sessions/machines/client.go
+++ b/sessions/machines/client.go
@@ -9,16 +9,37 @@
 	"persimmonrock.example/structs/workload"
 )
 
+// Jobs is an entry as a client calls it. Errors are those of package
+// workload; any other says nothing of what became of the call.
+type Jobs interface {
+	Submit(ctx context.Context, q workload.Queue, j workload.Job) error
+	State(ctx context.Context, q workload.Queue, id workload.JobID) (workload.State, error)
+	Cancel(ctx context.Context, q workload.Queue, id workload.JobID) error
+}
+
 // Client hands jobs in, asks for their states and cancels them, at whatever
-// entry answers, as the users' clients do.
+// entry answers, as the users' clients do. It tells the rules what it sees.
 type Client struct {
-	world *World
-	// next is the entry that is asked next.
-	next int
+	rules *Rules
+	// entry returns the entry to ask at the n-th try, or nil if it is gone.
+	entry func(n int) Jobs
+	next  int
+}
+
+// NewClient returns a client of the entries that entry returns.
+func NewClient(rules *Rules, entry func(n int) Jobs) *Client {
+	return &Client{rules: rules, entry: entry}
 }
 
 // NewClient returns a client of the world.
-func (w *World) NewClient() *Client { return &Client{world: w} }
+func (w *World) NewClient() *Client {
+	return NewClient(w.Rules, func(n int) Jobs {
+		if s := w.entries[n%len(w.entries)].Service(); s != nil {
+			return s
+		}
+		return nil
+	})
+}
 
 const (
 	// clientDeadline is how long a client waits for one answer.
@@ -30,19 +51,19 @@
 // Submit hands a job in, up to tries times, and reports whether it was
 // accepted.
 func (c *Client) Submit(j workload.Job, tries int) bool {
-	c.world.Rules.handIn(j)
+	c.rules.handIn(j)
 	for range tries {
-		service := c.entry().Service()
+		service := c.service()
 		if service == nil {
 			time.Sleep(clientPause)
-			c.world.Rules.answered(j.ID, false, false)
+			c.rules.answered(j.ID, false, false)
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 		err := service.Submit(ctx, j.Queue, j)
 		cancel()
 		var unavailable *workload.UnavailableError
-		c.world.Rules.answered(j.ID, err == nil, errors.As(err, &unavailable))
+		c.rules.answered(j.ID, err == nil, errors.As(err, &unavailable))
 		if err == nil {
 			return true
 		}
@@ -51,15 +72,15 @@
 	return false
 }
 
-func (c *Client) entry() *Entry {
+func (c *Client) service() Jobs {
 	c.next++
-	return c.world.entries[c.next%len(c.world.entries)]
+	return c.entry(c.next)
 }
 
 // State asks for a job's state until an entry answers.
 func (c *Client) State(id workload.JobID) workload.State {
 	for {
-		service := c.entry().Service()
+		service := c.service()
 		if service == nil {
 			time.Sleep(clientPause)
 			continue
@@ -69,10 +90,10 @@
 		cancel()
 		switch {
 		case err == nil:
-			c.world.Rules.show(id, s)
+			c.rules.show(id, s)
 			return s
 		case errors.Is(err, workload.ErrNoJob):
-			c.world.Rules.missing(id)
+			c.rules.missing(id)
 			return ""
 		}
 		time.Sleep(clientPause)
@@ -82,7 +103,7 @@
 // Cancel cancels a job and reports whether that was acknowledged.
 func (c *Client) Cancel(id workload.JobID) bool {
 	for range 10 {
-		service := c.entry().Service()
+		service := c.service()
 		if service == nil {
 			time.Sleep(clientPause)
 			continue
@@ -91,7 +112,7 @@
 		err := service.Cancel(ctx, workload.Queue{}, id)
 		cancel()
 		if err == nil {
-			c.world.Rules.cancelled(id)
+			c.rules.cancelled(id)
 			return true
 		}
 		time.Sleep(clientPause)
--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -43,7 +43,8 @@
 	shown    workload.State
 }
 
-func newRules() *Rules { return &Rules{jobs: map[workload.JobID]*watched{}} }
+// NewRules returns rules that know of no job.
+func NewRules() *Rules { return &Rules{jobs: map[workload.JobID]*watched{}} }
 
 // Broken lists what must not have happened.
 func (r *Rules) Broken() []string {
@@ -133,8 +134,8 @@
 	contact = 3 * time.Second
 )
 
-// cut notes that a machine was cut off, or that a cut has healed.
-func (r *Rules) cut() {
+// Cut notes that a machine was cut off, or that a cut has healed.
+func (r *Rules) Cut() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cutAt = time.Now()
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -79,7 +79,8 @@
 	timer      *time.Timer
 }
 
-func newWorker(info workload.Worker, rules *Rules, outcome func(workload.RunID) Outcome, seed uint64) *Worker {
+// NewWorker begins the life of a worker. Its luck follows seed.
+func NewWorker(info workload.Worker, rules *Rules, outcome func(workload.RunID) Outcome, seed uint64) *Worker {
 	w := &Worker{
 		rules: rules, outcome: outcome, info: info, slow: 0.98, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 7)), alive: true,
 		running: map[workload.RunID]*working{}, highest: map[workload.TaskID]int{}, changed: make(chan struct{}),
@@ -124,6 +125,13 @@
 	w.running = map[workload.RunID]*working{}
 }
 
+// Info is what the worker reports of itself; alive is false after its end.
+func (w *Worker) Info() (info workload.Worker, alive bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.info, w.alive
+}
+
 // Drain makes the worker report that it leaves.
 func (w *Worker) Drain() {
 	w.mu.Lock()
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -84,7 +84,7 @@
 // New returns a world whose programs run.
 func New(opt Options) *World {
 	w := &World{
-		Store: memstore.New(opt.Seed), Rules: newRules(), advisor: newAdvisor(), opt: opt, began: time.Now(), log: zerolog.Nop(),
+		Store: memstore.New(opt.Seed), Rules: NewRules(), advisor: newAdvisor(), opt: opt, began: time.Now(), log: zerolog.Nop(),
 		servers: map[string]*server{}, cut: map[string]bool{},
 	}
 	if opt.Log != nil {
@@ -148,7 +148,7 @@
 
 // Cut cuts a machine off from all others, or heals the cut.
 func (w *World) Cut(node string, cut bool) {
-	w.Rules.cut()
+	w.Rules.Cut()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cut[node] = cut
@@ -396,7 +396,7 @@
 	info := workload.Worker{
 		ID: workload.WorkerID(fmt.Sprintf("w-%d", life)), Service: Service, Labels: []string{"a", "r1"}, Capacity: w.opt.Capacity,
 	}
-	worker := newWorker(info, w.Rules, w.opt.Outcome, w.opt.Seed+uint64(life))
+	worker := NewWorker(info, w.Rules, w.opt.Outcome, w.opt.Seed+uint64(life))
 	worker.advisor = w.advisor
 	a.mu.Lock()
 	before := a.worker
