Slow runs are taken from workers that seem to be the cause

Cause: workers on which tasks stand still, or get on at a sixth of their speed, look healthy; their tasks stayed until the worker recovered. Nothing looked at progress (ruled out: failures, which worker health sees). TestTasksLeaveAWorkerThatHangs (never ends without the change), TestWrongEstimatesMoveNothing.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -255,6 +255,12 @@
 		x.changed = r.touch(false)
 	}
 	x.progress = s.Progress
+	if !x.slow && x.straggles(r.deps.Now()) {
+		x.slow = true
+		x.changed = r.touch(true)
+		r.deps.Log.Info().Stringer("run", x.id).Int("progress", x.progress).Int("before", x.firstProgress).
+			Dur("watched", r.deps.Now()-x.firstAt).Dur("estimate", x.estimate).Msg("run gets on slowly")
+	}
 	x.measure(s.Rough, r.deps.Now())
 }
 
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -102,6 +102,7 @@
 	x.fills = o.Fills
 	x.image = o.Image
 	x.tailTarget = o.TailTarget
+	x.estimate = o.Estimate
 	x.sized = true
 }
 
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -148,6 +148,12 @@
 	changed     uint64
 	progress    int
 	rough       float64
+	// estimate is that of the order; firstProgress is the progress of the
+	// first listing, at firstAt, and slow what followed from it.
+	estimate      time.Duration
+	firstProgress int
+	firstAt       time.Duration
+	slow          bool
 	// rate is the inverse of the tail of a serving task, smoothed.
 	rate float64
 	// pace is the pace that the worker was last told, at pacedAt; a run that
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -97,7 +97,7 @@
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range l.runs {
 		if x.changed > since || since == 0 {
-			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason})
+			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason, Slow: x.slow})
 		}
 	}
 	for _, e := range l.ends {
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -29,6 +29,9 @@
 	Labels    []string
 	// Suspect workers failed or lost tasks lately; they are used last.
 	Suspect bool
+	// Slow workers let tasks that end by themselves get on far slower than
+	// others do; those are placed elsewhere first.
+	Slow bool
 	// OfStep is the number of the step's tasks there.
 	OfStep int
 	// Barred excludes the worker, whatever its room.
@@ -112,7 +115,7 @@
 
 func score(r Request, i int, w *Candidate) float64 {
 	s := room(r.Step, w)
-	if w.Suspect {
+	if w.Suspect || w.Slow && !r.Step.Fills && !r.Step.Lasting {
 		s -= suspectPenalty
 	}
 	if i == r.Avoid {
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -39,6 +39,10 @@
 	ticket string
 	// moves counts how often the task was relocated.
 	moves int
+	// slow says that the run gets on far slower than estimated, rescues how
+	// often the task was taken from a worker for that.
+	slow    bool
+	rescues int
 	// avoid is the worker where the task failed last.
 	avoid workload.WorkerID
 	// notBefore delays the next run after repeated failures.
@@ -165,7 +169,7 @@
 func (j *job) release(s *step, t *task, checkpoint string) {
 	t.state = taskWaiting
 	t.agent, t.worker = "", ""
-	t.stopping, t.ordered = false, false
+	t.stopping, t.ordered, t.slow = false, false, false
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -78,6 +78,7 @@
 	r := workload.RunID{Task: id, Run: k.run}
 	l.starts[r] = dispatch.StartOrder{
 		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, Image: s.spec.Image, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint, Ticket: k.ticket,
+		Estimate: ownPace(s.spec),
 	}
 	signal(l.outbox)
 }
@@ -354,7 +355,7 @@
 	if r.Checkpoint != "" {
 		k.checkpoint = r.Checkpoint
 	}
-	return false
+	return r.Slow && t.straggler(w, s, k, r.Run)
 }
 
 // dead notes that a life of a worker is over: nothing of it runs any more.
--- /dev/null
+++ b/entry/scheduler/straggler.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// A worker may let its tasks stand still, or work at a sixth of its speed, and
+// look healthy all the while. Its agent tells of runs that get on far slower
+// than estimated; whether the estimate or the worker is wrong shows in what
+// else ran.
+
+// maxRescues bounds how often one task is taken from a worker.
+const maxRescues = 2
+
+// ownPace is the estimate of a step whose tasks end by themselves, and that
+// nobody slows: the pace of filling work says nothing of its worker.
+func ownPace(s *workload.Step) time.Duration {
+	if s.Lasting || s.Fills || s.Gang {
+		return 0
+	}
+	return s.Estimate
+}
+
+// straggler takes note of a run that is told as slow. If its worker seems to be
+// the cause, all slow runs are taken away from there; it reports whether any
+// was.
+func (t *Term) straggler(w *worker, s *step, k *task, r workload.RunID) bool {
+	if k.slow || k.stopping {
+		return false
+	}
+	k.slow = true
+	if !t.workerIsSlow(w, s, r) {
+		return false
+	}
+	w.slowUntil = t.deps.Now() + suspectFor
+	rescued := false
+	for run := range w.runs {
+		if k := t.slowRun(run); k != nil && !k.stopping && k.rescues < maxRescues {
+			t.rescue(w, k, run)
+			rescued = true
+		}
+	}
+	return rescued
+}
+
+// rescue stops a run, so that its task starts elsewhere.
+func (t *Term) rescue(w *worker, k *task, r workload.RunID) {
+	t.deps.Counters.Rescued.Add(1)
+	t.deps.Log.Info().Stringer("run", r).Str("worker", string(w.id)).Int("rescues", k.rescues).Msg("run straggles; it starts elsewhere")
+	k.rescues++
+	k.avoid = w.id
+	t.stop(r.Task, k)
+}
+
+// slowRun returns the task of a run on record if the run is told as slow.
+func (t *Term) slowRun(r workload.RunID) *task {
+	j := t.jobs[r.Task.Job]
+	if j == nil {
+		return nil
+	}
+	if _, k := j.find(r.Task); k != nil && k.state == taskPlaced && k.run == r.Run && k.slow {
+		return k
+	}
+	return nil
+}
+
+// workerIsSlow reports whether a slow run of s is the worker's doing: others
+// of its step are done already, or runs of another job are slow there too.
+func (t *Term) workerIsSlow(w *worker, s *step, r workload.RunID) bool {
+	if s.done > 0 {
+		return true
+	}
+	for other := range w.runs {
+		if other.Task.Job != r.Task.Job && t.slowRun(other) != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -38,6 +38,9 @@
 	processed uint64
 	stored    uint64
 	health    health
+	// slowUntil is until when tasks that get on at their own pace go
+	// elsewhere.
+	slowUntil time.Duration
 }
 
 // keptRoom is room for one task, until a time.
@@ -122,7 +125,7 @@
 func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
 	return placement.Candidate{
 		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.keptFor(workload.TaskID{}, time.Now())), FillLoad: w.fillLoad, Serving: w.serving,
-		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now),
+		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now), Slow: now < w.slowUntil,
 		Barred: !w.alive || w.info.Draining || w.info.Service != service,
 	}
 }
--- a/sessions/machines/jobs_test.go
+++ b/sessions/machines/jobs_test.go
@@ -183,3 +183,31 @@
 		}
 	})
 }
+
+// All that begins on one worker stands still, while its reports and answers
+// are as good as ever. Its tasks are taken to other workers within two seconds,
+// and later ones don't begin there as long as it goes on.
+func TestTasksLeaveAWorkerThatHangs(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 4}, func(t *testing.T, w *World, c *Client) {
+		w.Agents()[1].Worker().SetHangs(true)
+		for n := range 4 {
+			submit(t, c, job(n, 8))
+			if took := await(t, c, JobID(n), workload.Completed, 30*second); took > 7*second {
+				t.Errorf("job %d of two seconds took %v", n, took)
+			}
+		}
+	})
+}
+
+// A job is far larger than its client thought, on every worker: nothing is
+// taken from anywhere.
+func TestWrongEstimatesMoveNothing(t *testing.T) {
+	long := func(workload.RunID) Outcome { return Outcome{For: 9 * second} }
+	play(t, Options{Entries: 2, Machines: 4, Outcome: long}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, job(1, 4))
+		await(t, c, JobID(1), workload.Completed, 40*second)
+		if w.Rules.Started != 8 {
+			t.Errorf("%d starts for 8 tasks", w.Rules.Started)
+		}
+	})
+}
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -55,7 +55,9 @@
 	dark bool
 	// late is the share of orders without an answer that are carried out
 	// seconds later.
-	late    float64
+	late float64
+	// hangs says that what begins stands still.
+	hangs   bool
 	refuses bool
 	token   uint64
 	lease   workerctl.Clock
@@ -75,8 +77,11 @@
 	payload    string
 	began      time.Time
 	checkpoint int
-	stopping   bool
-	timer      *time.Timer
+	// takes is how long the run works; 0 means that it lasts or stands still.
+	takes    time.Duration
+	lasts    bool
+	stopping bool
+	timer    *time.Timer
 }
 
 // NewWorker begins the life of a worker. Its luck follows seed.
@@ -153,6 +158,14 @@
 	w.late = share
 }
 
+// SetHangs sets whether what begins from now on stands still, though the
+// worker looks healthy.
+func (w *Worker) SetHangs(hangs bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hangs = hangs
+}
+
 // Running lists what runs.
 func (w *Worker) Running() []workload.RunID {
 	w.mu.Lock()
@@ -250,10 +263,12 @@
 	if out.Fails {
 		kind = workload.EndFailed
 	}
-	if out.For == 0 || out.Hangs || w.rules.lasting(o.Run) {
+	x.lasts = out.For == 0 || w.rules.lasting(o.Run)
+	if x.lasts || out.Hangs || w.hangs {
 		x.timer = time.AfterFunc(time.Hour, func() {})
 		return
 	}
+	x.takes = out.For
 	x.timer = time.AfterFunc(out.For, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -263,6 +278,17 @@
 	})
 }
 
+// progress is how much of its work is done, in whole per cents.
+func (x *working) progress() int {
+	switch {
+	case x.lasts:
+		return 100
+	case x.takes == 0:
+		return 0
+	}
+	return min(99, int(100*time.Since(x.began)/x.takes))
+}
+
 func (w *Worker) end(x *working, kind workload.EndKind) {
 	x.timer.Stop()
 	delete(w.running, x.run)
@@ -368,7 +394,7 @@
 func (w *Worker) listing() workerctl.Listing {
 	l := workerctl.Listing{Now: w.clock()}
 	for _, x := range w.running {
-		l.Running = append(l.Running, workerctl.RunStatus{Run: x.run, Progress: 100, Rough: 5})
+		l.Running = append(l.Running, workerctl.RunStatus{Run: x.run, Progress: x.progress(), Rough: 5})
 	}
 	l.Ended = append(l.Ended, w.ended[:min(len(w.ended), listedEnds)]...)
 	return l
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -32,6 +32,9 @@
 	TailTarget time.Duration
 	Checkpoint string
 	Ticket     string
+	// Estimate is the client's guess of the run time of a task that ends by
+	// itself and works at its own pace; 0 for all others.
+	Estimate time.Duration
 }
 
 // OrderArgs carries orders for one life of a worker.
@@ -157,6 +160,8 @@
 	Checkpoint string
 	// Reason says why a run is void.
 	Reason string
+	// Slow says that the run gets on far slower than its estimate.
+	Slow bool
 }
 
 // NoteArgs tells the scheduler of a job that was stored or cancelled.
