--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -12,7 +12,8 @@
 	Terms, Jobs, JobsEnded atomic.Int64
 	// Placements, Ends, Void and Lost count runs: on record, ended, never
 	// run, and lost with their worker. Relocated are filling runs that were
-	// stopped to run elsewhere, Regrouped serving ones.
+	// stopped to run elsewhere, Regrouped serving ones, Rescued those taken
+	// from workers on which they got on too slowly.
 	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued atomic.Int64
 	// Commits counts the transactions and their repeats, CommitErrors those
 	// without success.
--- /dev/null
+++ b/entry/scheduler/lost.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import "persimmonrock.example/structs/workload"
+
+// dead notes that a life of a worker is over: nothing of it runs any more.
+func (t *Term) dead(id workload.WorkerID, why string) {
+	w := t.workers[id]
+	if w == nil {
+		return
+	}
+	delete(t.workers, id)
+	if w.link != nil && w.link.worker == w {
+		w.link.worker = nil
+	}
+	t.loseRuns(w, why)
+}
+
+// loseRuns makes everything on record at w wait again.
+func (t *Term) loseRuns(w *worker, why string) {
+	if w.alive || len(w.runs) > 0 {
+		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Str("why", why).Msg("worker lost")
+	}
+	w.alive = false
+	for r := range w.runs {
+		j := t.jobs[r.Task.Job]
+		if j != nil {
+			if s, k := j.find(r.Task); k != nil && k.state == taskPlaced && k.run == r.Run && k.worker == w.id {
+				t.deps.Counters.Lost.Add(1)
+				j.release(s, k, "")
+				t.mark(j)
+			}
+		}
+		w.remove(r)
+	}
+	if w.link != nil {
+		// Should the worker come back, all of its runs are compared anew.
+		w.link.since = 0
+	}
+	t.wakeUp()
+}
+
+// loseWorkers finds the workers whose last lease is over.
+func (t *Term) loseWorkers() bool {
+	now := t.deps.Now()
+	lost := false
+	for _, w := range t.workers {
+		if w.bound > 0 && now > w.bound && (w.alive || len(w.runs) > 0) {
+			t.loseRuns(w, "its last lease is over")
+			lost = true
+		}
+	}
+	return lost
+}
+
+// evacuate moves lasting work off a worker that leaves: it ends with the
+// worker in any case, and the time until then is better spent elsewhere.
+func (t *Term) evacuate(w *worker) {
+	for r := range w.runs {
+		j := t.jobs[r.Task.Job]
+		if j == nil {
+			continue
+		}
+		s, k := j.find(r.Task)
+		if k != nil && k.state == taskPlaced && k.run == r.Run && (s.spec.Lasting || s.spec.Checkpointing) {
+			t.stop(r.Task, k)
+		}
+	}
+}
