What is regained is told as a warning, like its loss

Ruled out: the probe (the second loss is only told after a regain). Change: regained dependencies and the beginning and end of terms are warnings, which have a bound of their own.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -94,7 +94,7 @@
 		l.changed = r.touch(true)
 	}
 	if failures > 0 {
-		r.deps.Log.Info().Str("worker", string(l.id)).Int("failures", failures).Msg("worker answers again")
+		r.deps.Log.Warn().Str("worker", string(l.id)).Int("failures", failures).Msg("worker answers again")
 	}
 }
 
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -82,7 +82,7 @@
 		}
 		if failing {
 			failing = false
-			f.log.Info().Msg("configuration feed regained")
+			f.log.Warn().Msg("configuration feed regained")
 		}
 		f.heard.Store(int64(f.now()))
 		after, listed = max(after, at.Version), true
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -293,7 +293,7 @@
 		s.mu.Lock()
 		s.lost = false
 		s.mu.Unlock()
-		s.log.Info().Msg("store regained")
+		s.log.Warn().Msg("store regained")
 		return
 	}
 }
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -206,7 +206,7 @@
 	}
 	e.follow(lease, version)
 	e.deps.Counters.Terms.Add(1)
-	e.deps.Log.Info().Uint64("epoch", version).Msg("lease taken")
+	e.deps.Log.Warn().Uint64("epoch", version).Msg("lease taken")
 	return newTerm(ctx, e.cfg, e.deps, lease, version, sent, stamp)
 }
 
@@ -218,7 +218,7 @@
 	e.mu.Lock()
 	e.term = nil
 	e.mu.Unlock()
-	e.deps.Log.Info().Uint64("epoch", term.epoch).Msg("term ended")
+	e.deps.Log.Warn().Uint64("epoch", term.epoch).Msg("term ended")
 	if ctx.Err() != nil || term.heirNode() != "" {
 		released, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancel()
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -178,7 +178,7 @@
 	}
 	if l.silent {
 		l.silent = false
-		t.deps.Log.Info().Str("instance", l.node).Msg("agent reached")
+		t.deps.Log.Warn().Str("instance", l.node).Msg("agent reached")
 	}
 	if reply.Process != l.process {
 		l.newProcess(reply.Process)
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -50,7 +50,7 @@
 		t.takeProgress(row, now)
 	}
 	t.loaded = true
-	t.deps.Log.Info().Uint64("epoch", t.epoch).Int("jobs", len(t.jobs)).Int("active", len(t.active)).Int("workers", len(t.workers)).
+	t.deps.Log.Warn().Uint64("epoch", t.epoch).Int("jobs", len(t.jobs)).Int("active", len(t.active)).Int("workers", len(t.workers)).
 		Dur("took", t.deps.Now()-t.began).Msg("term begins")
 	return stamp, nil
 }
--- a/entry/scheduler/yield.go
+++ b/entry/scheduler/yield.go
@@ -34,7 +34,7 @@
 		return false
 	}
 	t.heir = heir
-	t.deps.Log.Info().Str("heir", heir).Uint64("epoch", t.epoch).Msg("lease handed to a stronger machine")
+	t.deps.Log.Warn().Str("heir", heir).Uint64("epoch", t.epoch).Msg("lease handed to a stronger machine")
 	t.cancel()
 	return true
 }
--- a/ops/logs/limit.go
+++ b/ops/logs/limit.go
@@ -10,7 +10,9 @@
 // Limit bounds the lines of a process: so many a second below the warning
 // level, and as many again from there on. It counts what it leaves out. A
 // flood of one kind of line must not cost the processor time that the
-// process's work needs.
+// process's work needs. A dependency that is regained, and a term that begins
+// or ends, is told as a warning like its loss: an entry that schedules for 69
+// workers writes 500 decisions in some seconds, which would crowd it out.
 type Limit struct {
 	// PerSecond is the most lines of one second.
 	PerSecond int
