TestRefusalsThatProveNotRun waits until the server is met again

Cause: the case before tells the backend server of another agent. Its next announcement, at most 20 ms later, makes the agent choose a higher incarnation, and until the server has accepted that one its calls are refused as not-ready.

The harness of claims prints the last answers of a failed test.

--- a/agent/call_test.go
+++ b/agent/call_test.go
@@ -169,6 +169,13 @@
 func TestRefusalsThatProveNotRun(t *testing.T) {
 	r, a, s, guard := serving(t)
 	gone := make(chan struct{})
+	tries := 0
+	served := func(what string) {
+		eventually(t, what, func() bool {
+			tries++
+			return call(a, structs.RequestID(fmt.Sprint("busy-", tries)), time.Second).Refused == nil
+		})
+	}
 	cases := []struct {
 		name string
 		want structs.RefusalType
@@ -209,6 +216,9 @@
 			return call(a, "fenced", time.Second)
 		}},
 		{"nobody listens", structs.RefusedUnreachable, func() wire.CallReply {
+			// The server tells its agent of the other one soon, and gets no calls
+			// until it has accepted the agent's next incarnation.
+			served("met again")
 			address := r.front.Listener.Addr().String()
 			r.front.Close()
 			defer func() {
@@ -223,11 +233,7 @@
 			return call(a, "nobody", time.Second)
 		}},
 		{"leaving", structs.RefusedDraining, func() wire.CallReply {
-			n := 0
-			eventually(t, "accepted again", func() bool {
-				n++
-				return call(a, structs.RequestID(fmt.Sprint("busy-", n)), time.Second).Refused == nil
-			})
+			served("accepted again")
 			guard.Guard.Leave()
 			return call(a, "leave", time.Second)
 		}},
--- a/cmd/e2e/cut_test.go
+++ b/cmd/e2e/cut_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"persimmonrock.example/cmd/sample"
 	"persimmonrock.example/structs"
@@ -119,15 +120,27 @@
 	count *sample.Lodgements
 	mu    sync.Mutex
 	told  map[string][]response
-	calls sync.WaitGroup
+	// latest are the last answers, which a failed test prints.
+	latest []string
+	calls  sync.WaitGroup
 }
 
+// keptAnswers is how many of the last answers a failed test prints.
+const keptAnswers = 12
+
 // startClaims announces one instance's lodging of claims, which works until
 // its busy server is released.
 func (w *world) startClaims(i *instance, slots int64) *claims {
 	c := &claims{world: w, busy: newBusy(slots), count: sample.NewLodgements(), told: make(map[string][]response)}
 	c.announceClaims(i, c.busy)
 	c.key = w.contract("kowhai", 1)
+	w.t.Cleanup(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if w.t.Failed() {
+			w.t.Logf("the last answers:\n%s", strings.Join(c.latest, "\n"))
+		}
+	})
 	return c
 }
 
@@ -160,6 +173,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.told[claim] = append(c.told[claim], r)
+	c.latest = append(c.latest, fmt.Sprintf("%s %s from %s: %s", time.Now().Format(time.StampMilli), claim, e.name, r))
+	c.latest = c.latest[max(0, len(c.latest)-keptAnswers):]
 	return r
 }
 
