An instance's own calls decide whether a call is late

Learnt times are corrected by calls only, and the next calls of 2 s were all refused as 'no backend server would answer before the deadline', 1,230 times in 30 s, though the agent's own measured time had shrunk. So a service whose first calls are slow would have been refused by an entry for good. Found by printing the last answers. Ruled out: the relay, the direct way, the agent's silence (it had returned 30 s before).

Change: the predicted time still ranks instances, but a call is refused as late only if the instance's measured time, made longer by what runs beside it, says so, too; between two candidates the one in time wins.

--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -196,3 +196,38 @@
 		t.Errorf("%d of 2 placed where no call has run for long", n)
 	}
 }
+
+// The first calls of a service took 4 s while their backend server began its
+// work, and the next have deadlines of 2 s. From what was learnt alone every
+// later call would be refused, and since none is tried nothing would ever
+// correct it. A call is refused as late only while the instance's own calls
+// say so: their measured time shrinks when there are none.
+func TestSlowBeginningDoesNotRefuseCallsForEver(t *testing.T) {
+	m := NewInterference()
+	for range 4 {
+		m.Observe(Sample{Service: "assay-check", Band: BandHigh, ServiceTime: 4 * time.Second, Calls: 1})
+	}
+	sampled := func(measured time.Duration, batch ...wire.BatchLoad) []Candidate {
+		return []Candidate{{Instance: "i1", Zone: "hill", Slots: 4, ServiceTime: measured, Batch: batch}}
+	}
+	q := UrgentQuery{Service: "assay-check", Zone: "hill", Remaining: 2 * time.Second, Random: 1}
+	cases := []struct {
+		name string
+		cs   []Candidate
+		late bool
+	}{
+		{"calls there still take as long", sampled(4 * time.Second), true},
+		{"half of it and still too long", sampled(2500 * time.Millisecond), true},
+		{"nothing has confirmed it for a while", sampled(time.Second), false},
+		{"nothing for very long", sampled(0), false},
+		{"a new instance", sampled(0, wire.BatchLoad{Kind: "grade-report", Running: 2}), false},
+		{"what runs beside it makes it late", sampled(1900*time.Millisecond, wire.BatchLoad{Kind: "grade-report", Running: 10}), true},
+		{"another one is in time", append(sampled(4*time.Second), sampled(time.Second)...), false},
+	}
+	for _, c := range cases {
+		_, hold := ChooseUrgent(q, c.cs, m)
+		if late := hold.Refusal == structs.RefusedDeadline; late != c.late {
+			t.Errorf("%s: refused as late %v, want %v", c.name, late, c.late)
+		}
+	}
+}
--- a/decide/interference.go
+++ b/decide/interference.go
@@ -391,5 +391,13 @@
 		return 0
 	}
 	alone := s.st.scale * s.st.base[b].mean
-	return time.Duration(alone * s.m.inflation(s.st, b, batch) * float64(time.Second))
+	return time.Duration(alone * s.inflation(b, batch) * float64(time.Second))
+}
+
+// inflation is by how much batch makes a call longer, 1 when not known.
+func (s *serviceModel) inflation(b LoadBand, batch []wire.BatchLoad) float64 {
+	if s.st == nil {
+		return 1
+	}
+	return s.m.inflation(s.st, b, batch)
 }
--- a/decide/urgent.go
+++ b/decide/urgent.go
@@ -80,16 +80,21 @@
 	return -1, whyNone(&q, cs, local.index >= 0 || remote.index >= 0)
 }
 
-// choice is the best candidate so far; index is -1 for none.
+// choice is the best candidate so far; index is -1 for none. score ranks it,
+// time tells whether it is late.
 type choice struct {
 	index       int
 	score, time time.Duration
 }
 
+// offer takes the candidate if it is the first, the only one in time, or the
+// faster one of two that are alike in this.
 func (b *choice) offer(q *UrgentQuery, cs []Candidate, i int, m *serviceModel) {
-	t := predicted(&cs[i], m)
-	if s := crowded(t, &cs[i]); b.index < 0 || s < b.score {
-		*b = choice{i, s, t}
+	likely := predicted(&cs[i], m)
+	offered := choice{i, crowded(likely, &cs[i]), confirmed(&cs[i], m, likely)}
+	inTime, bestInTime := offered.time <= q.Remaining, b.time <= q.Remaining
+	if b.index < 0 || inTime && !bestInTime || inTime == bestInTime && offered.score < b.score {
+		*b = offered
 	}
 }
 
@@ -172,6 +177,21 @@
 	return time.Duration(trust*float64(measured) + (1-trust)*float64(learnt))
 }
 
+// confirmed is the part of the predicted time likely for which the instance's
+// own calls speak; only by it is a call refused as late.
+//
+// Failure guarded against: the first calls of a service took 4 s, so all with
+// a deadline of 2 s are refused from what was learnt of the service, and since
+// none is tried nothing corrects it, however fast the service is by now. It
+// shows as "no backend server would answer before the deadline" without end.
+// The guard: the measured time of an instance without calls shrinks at its
+// agent, and one that has none yet is tried.
+func confirmed(c *Candidate, m *serviceModel, likely time.Duration) time.Duration {
+	measured := max(c.ServiceTime, 0)
+	inflation := m.inflation(BandOf(busy(c)+1, c.Slots), c.Batch)
+	return min(likely, time.Duration(float64(measured)*inflation))
+}
+
 // crowded adds up to an eighth for slots in use, so that among equals the
 // emptier one wins, and half as much again for the last free slot: by the time
 // the call arrives another entry, or a task, has often taken it, and the
