A worker that fails all it starts gets nothing; failed tasks stay away from it

It was suspect after three jobs, but that is a penalty only, and filling work bars all workers on which it presses, so the suspect one was the only one left; and runs that had begun before it broke cleared it by ending well.

Now a task that failed on a worker stays away while nothing that began later has ended well there (5 s at most, and only if another could take it), a suspect gets nothing while at most a third are suspect, and old runs prove nothing. TestWorkerThatFailsAllCostsNoJob fails before (a job ended failed).

--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -43,6 +43,8 @@
 	Step *workload.Step
 	// Avoid is the index of a worker where the task failed before, or -1.
 	Avoid int
+	// Never excludes the worker at Avoid, whatever else there is.
+	Never bool
 	// Rack is where most of a coupled step runs, if anywhere.
 	Rack string
 }
@@ -83,7 +85,7 @@
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !fits(r.Step, w) {
+		if !fits(r.Step, w) || r.Never && i == r.Avoid {
 			continue
 		}
 		s := score(r, i, w)
@@ -95,16 +97,19 @@
 }
 
 func fits(s *workload.Step, w *Candidate) bool {
-	if w.Barred || !s.Reserved().Fits(w.Free) {
+	if w.Barred || !s.Reserved().Fits(w.Free) || !CouldTake(s, w) {
 		return false
 	}
+	return !s.Fills || w.FillLoad+s.Need.CPU <= unused(w)
+}
+
+// CouldTake reports whether the worker could run a task of the step if it had
+// room.
+func CouldTake(s *workload.Step, w *Candidate) bool {
 	if s.Spread > 0 && w.OfStep >= s.Spread {
 		return false
 	}
-	if s.Label != "" && !contains(w.Labels, s.Label) {
-		return false
-	}
-	return !s.Fills || w.FillLoad+s.Need.CPU <= unused(w)
+	return s.Need.Fits(w.Capacity) && (s.Label == "" || contains(w.Labels, s.Label))
 }
 
 // unused is the CPU that filling work may expect.
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -13,8 +13,9 @@
 	// Placements, Ends, Void and Lost count runs: on record, ended, never
 	// run, and lost with their worker. Relocated are filling runs that were
 	// stopped to run elsewhere, Regrouped serving ones, Rescued those taken
-	// from workers on which they got on too slowly.
-	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued atomic.Int64
+	// from workers on which they got on too slowly. Suspected counts how often
+	// a worker got nothing any more since it failed what it started.
+	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued, Suspected atomic.Int64
 	// Commits counts the transactions and their repeats, CommitErrors those
 	// without success.
 	Commits, CommitErrors atomic.Int64
@@ -28,7 +29,8 @@
 	return map[string]any{
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
-		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
+		"suspected": c.Suspected.Load(),
+		"commits":   c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(),
 	}
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -64,6 +64,7 @@
 	for _, w := range v.workers {
 		v.candidates = append(v.candidates, w.candidate(service, v.now))
 	}
+	v.barSuspects()
 }
 
 // refresh brings the list of active jobs and their queues up to date.
@@ -151,8 +152,13 @@
 		if t.placePinned(v, j, o, si, i, now) {
 			continue
 		}
-		n := placement.Choose(placement.Request{Step: s.spec, Avoid: v.index(k.avoid), Rack: v.rackOfStep(s)}, v.candidates)
-		if n < 0 {
+		avoid := v.index(k.avoid)
+		away := v.staysAway(s.spec, avoid)
+		n := placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, Never: away, Rack: v.rackOfStep(s)}, v.candidates)
+		switch {
+		case n < 0 && away:
+			continue
+		case n < 0:
 			return
 		}
 		t.place(v, j, o, si, i, n, k.run+1)
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -280,7 +280,7 @@
 		return
 	}
 	w.remove(e.Run)
-	w.judge(e, j, t.deps.Now())
+	t.judge(w, e, k.placedAt)
 	t.settle(j, s, k, e, w)
 	t.mark(j)
 }
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -126,10 +126,15 @@
 	return placement.Candidate{
 		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.keptFor(workload.TaskID{}, time.Now())), FillLoad: w.fillLoad, Serving: w.serving,
 		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now), Slow: now < w.slowUntil,
-		Barred: !w.alive || w.info.Draining || w.info.Service != service,
+		Barred: !w.takes(service),
 	}
 }
 
+// takes reports whether tasks of the service may begin on the worker.
+func (w *worker) takes(service string) bool {
+	return w.alive && !w.info.Draining && w.info.Service == service
+}
+
 // rackOf finds the rack among a worker's labels: the first label is the
 // worker's kind, the last its rack.
 func rackOf(labels []string) string {
@@ -143,38 +148,3 @@
 	}
 	return labels[len(labels)-1]
 }
-
-// health tells a worker that fails what it starts from tasks that fail
-// everywhere: failures count by job, and one success clears them.
-type health struct {
-	failing map[workload.JobID]bool
-	until   time.Duration
-}
-
-const (
-	// suspectAfter is the number of jobs in a row of which a run failed.
-	suspectAfter = 3
-	// suspectFor is how long such a worker is used last.
-	suspectFor = 5 * time.Second
-)
-
-func (h *health) suspect(now time.Duration) bool { return now < h.until }
-
-// judge takes an end into account.
-func (w *worker) judge(e workload.End, j *job, now time.Duration) {
-	switch e.Kind {
-	case workload.EndDone:
-		w.health.failing = nil
-	case workload.EndFailed:
-		if w.health.failing == nil {
-			w.health.failing = map[workload.JobID]bool{}
-		}
-		w.health.failing[j.spec.ID] = true
-		if len(w.health.failing) >= suspectAfter {
-			w.health.until = now + suspectFor
-		}
-	}
-}
-
-// turnedAway notes that the worker turned a start away.
-func (w *worker) turnedAway(now time.Duration) { w.health.until = now + suspectFor/2 }
--- a/sessions/machines/jobs_test.go
+++ b/sessions/machines/jobs_test.go
@@ -199,6 +199,39 @@
 	})
 }
 
+// One worker fails all that it starts within moments, and so is the emptiest
+// one all the time; what began there before goes on and ends well. Tasks used
+// up their attempts there in a tenth of a second, and jobs were told to have
+// failed. Each task may lose one attempt there, and no job fails.
+func TestWorkerThatFailsAllCostsNoJob(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 3}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, job(1, 24))
+		time.Sleep(500 * time.Millisecond)
+		w.Agents()[1].Worker().SetFails(true)
+		for n := range 8 {
+			submit(t, c, job(10+n, 6))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(4 * second)
+		w.Agents()[1].Worker().SetFails(false)
+		for n := range 8 {
+			await(t, c, JobID(10+n), workload.Completed, 60*second)
+		}
+		await(t, c, JobID(1), workload.Completed, 60*second)
+	})
+}
+
+// On a deployment of one worker a failed task has nowhere else to go.
+func TestTaskThatFailedRunsAgainOnTheOnlyWorker(t *testing.T) {
+	first := func(r workload.RunID) Outcome { return Outcome{For: second, Fails: r.Run == 1} }
+	play(t, Options{Entries: 2, Machines: 1, Outcome: first}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, job(1, 4))
+		if took := await(t, c, JobID(1), workload.Completed, 20*second); took > 6*second {
+			t.Errorf("two steps of two runs of a second each took %v", took)
+		}
+	})
+}
+
 // A job is far larger than its client thought, on every worker: nothing is
 // taken from anywhere.
 func TestWrongEstimatesMoveNothing(t *testing.T) {
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -29,6 +29,8 @@
 	answerTime = time.Millisecond
 	// silence is how long a caller waits for an answer that never comes.
 	silence = 500 * time.Millisecond
+	// failTime is how soon a run ends on a worker that fails what it starts.
+	failTime = 30 * time.Millisecond
 	// stopTime is how long a run takes to stop.
 	stopTime = 200 * time.Millisecond
 	// longestLease is the longest lease that a worker grants.
@@ -56,6 +58,8 @@
 	// late is the share of orders without an answer that are carried out
 	// seconds later.
 	late float64
+	// fails says that what begins soon ends failed.
+	fails bool
 	// hangs says that what begins stands still.
 	hangs   bool
 	refuses bool
@@ -158,6 +162,13 @@
 	w.late = share
 }
 
+// SetFails lets all that begins from now on fail within moments.
+func (w *Worker) SetFails(fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fails = fails
+}
+
 // SetHangs sets whether what begins from now on stands still, though the
 // worker looks healthy.
 func (w *Worker) SetHangs(hangs bool) {
@@ -260,6 +271,9 @@
 	w.rules.started(w, x, o)
 	out := w.outcome(o.Run)
 	kind := workload.EndDone
+	if w.fails {
+		out = Outcome{For: failTime, Fails: true}
+	}
 	if out.Fails {
 		kind = workload.EndFailed
 	}
