Serving tasks' spare load goes to filling jobs by rank, least work left first

And by deadline, jobs that came first and no longer mattered to many went first.

Now the scheduler tells each agent the order of its filling jobs when it changes; the agent gives the spare load to them in this order, so that the first work at full pace and the last stand still. Within a class the job with the least work left comes first (shortest remaining work is the classical order for most jobs in time when there is too much).

--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -52,27 +52,55 @@
 	if len(filling) == 0 {
 		return nil
 	}
-	next := pressure.Pace(serving, filling, r.weight)
-	if l.paces == nil {
-		l.paces = map[string]float64{}
+	list := make([]pressure.Filling, len(filling))
+	for i := range filling {
+		list[i] = filling[i].Filling
+		list[i].Rank = r.rankOf(filling[i].job)
 	}
+	next := pressure.Pace(serving, list, r.weight)
+	l.paces = make(map[paceKey]float64, len(filling))
 	for i, f := range filling {
 		if math.Abs(next[i]-f.Pace) > 0.1 || next[i] == 0 && f.Pace > 0 {
-			r.deps.Log.Info().Str("image", f.Image).Float64("pace", next[i]).Float64("before", f.Pace).Float64("used", f.Used).
-				Float64("tail_share", worstShare(serving)).Msg("pace")
+			r.deps.Log.Info().Str("job", string(f.job)).Str("image", f.Image).Float64("pace", next[i]).Float64("before", f.Pace).
+				Float64("used", f.Used).Float64("tail_share", worstShare(serving)).Msg("pace")
 		}
-		l.paces[f.Image] = next[i]
+		l.paces[f.paceKey()] = next[i]
 	}
 	return r.paceOrders(l)
 }
 
+// paceKey names what has one pace on a worker.
+type paceKey struct {
+	job   workload.JobID
+	image string
+}
+
+// jobFilling is the filling work of one job and image.
+type jobFilling struct {
+	pressure.Filling
+	job workload.JobID
+}
+
+func (f *jobFilling) paceKey() paceKey { return paceKey{f.job, f.Image} }
+
+func (x *run) paceKey() paceKey { return paceKey{x.id.Task.Job, x.image} }
+
+// rankOf is the job's place in the scheduler's order; jobs of which it has not
+// told come last.
+func (r *Runner) rankOf(id workload.JobID) int {
+	if rank, ok := r.ranks[id]; ok {
+		return rank
+	}
+	return len(r.ranks)
+}
+
 func (r *Runner) paceOrders(l *life) []paced {
 	var orders []paced
 	for _, x := range l.runs {
 		if !x.fills || x.state != dispatch.RunPresent || x.stopping {
 			continue
 		}
-		pace := int(math.Round(fullPace * l.paceOf(x.image)))
+		pace := int(math.Round(fullPace * l.paceOf(x)))
 		if r.repace(x, pace) {
 			x.pace, x.pacedAt = pace, r.deps.Now()
 			orders = append(orders, paced{run: x.id, pace: pace})
@@ -81,9 +109,9 @@
 	return orders
 }
 
-// paceOf is the pace of an image; what was never paced works at full speed.
-func (l *life) paceOf(image string) float64 {
-	if p, ok := l.paces[image]; ok {
+// paceOf is the pace of a run; what was never paced works at full speed.
+func (l *life) paceOf(x *run) float64 {
+	if p, ok := l.paces[x.paceKey()]; ok {
 		return p
 	}
 	return 1
@@ -165,27 +193,32 @@
 	}
 }
 
-// filling sums the filling work by image.
-func (l *life) filling() []pressure.Filling {
-	sums := map[string]*pressure.Filling{}
+// filling sums the filling work by job and image.
+func (l *life) filling() []jobFilling {
+	sums := map[paceKey]*jobFilling{}
 	whole := float64(max(1, l.worker.Capacity.CPU))
 	for _, x := range l.runs {
 		if !x.fills || x.state != dispatch.RunPresent {
 			continue
 		}
-		f := sums[x.image]
+		f := sums[x.paceKey()]
 		if f == nil {
-			f = &pressure.Filling{Image: x.image, Pace: l.paceOf(x.image)}
-			sums[x.image] = f
+			f = &jobFilling{Filling: pressure.Filling{Image: x.image, Pace: l.paceOf(x)}, job: x.id.Task.Job}
+			sums[x.paceKey()] = f
 		}
 		f.Used += x.rough / whole
 		f.Wanted += float64(x.need.CPU) / whole
 	}
-	list := make([]pressure.Filling, 0, len(sums))
+	list := make([]jobFilling, 0, len(sums))
 	for _, f := range sums {
 		list = append(list, *f)
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Image < list[k].Image })
+	sort.Slice(list, func(i, k int) bool {
+		if list[i].Image != list[k].Image {
+			return list[i].Image < list[k].Image
+		}
+		return list[i].job < list[k].job
+	})
 	return list
 }
 
@@ -235,7 +268,12 @@
 	if len(s.Serving) == 0 {
 		return
 	}
+	// The list is in the order of the images.
 	for _, f := range l.filling() {
+		if n := len(s.Filling); n > 0 && s.Filling[n-1].Image == f.Image {
+			s.Filling[n-1].Used += f.Used
+			continue
+		}
 		s.Filling = append(s.Filling, dispatch.FillingSample{Image: f.Image, Used: f.Used})
 	}
 	r.sample, r.sampledAt = s, now
@@ -245,6 +283,12 @@
 // learn takes what the scheduler has learnt.
 func (r *Runner) learn(args *dispatch.WatchArgs) {
 	r.sampleEvery = args.SampleEvery
+	if len(args.Order) > 0 {
+		r.ranks = make(map[workload.JobID]int, len(args.Order))
+		for rank, id := range args.Order {
+			r.ranks[id] = rank
+		}
+	}
 	if len(args.Pressure) > 0 {
 		r.weights = map[pressure.Pair]pressure.Weight{}
 		for _, p := range args.Pressure {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -70,7 +70,9 @@
 	sampledAt   time.Duration
 	// weights and base are what the scheduler has learnt.
 	weights map[pressure.Pair]pressure.Weight
-	base    map[string]float64
+	// ranks is the scheduler's order of the jobs with filling runs here.
+	ranks map[workload.JobID]int
+	base  map[string]float64
 }
 
 // Counters are an agent's figures; all only go up.
@@ -109,8 +111,8 @@
 	seen uint64
 	ends []endEntry
 	runs map[workload.RunID]*run
-	// paces is the pace of each image of filling work, 0 to 1.
-	paces map[string]float64
+	// paces is the pace of each job's filling work by image, 0 to 1.
+	paces map[paceKey]float64
 }
 
 type endEntry struct {
--- a/decide/order/order.go
+++ b/decide/order/order.go
@@ -32,12 +32,19 @@
 type Key struct {
 	Priority int
 	Class    Class
+	// Work is the filling work that is left of the job, in core-seconds; 0
+	// for jobs without any.
+	Work float64
 	// By is the time until which the job has to end to stay in its class,
 	// since the start of the store's clock.
 	By time.Duration
 }
 
 // Less reports whether a comes before b.
+//
+// Of filling jobs of one class the one with the least work left comes first:
+// there is often more of it than the serving tasks bear, and then most jobs
+// end in time in this order. By their deadlines nearly all would end late.
 func (a Key) Less(b Key) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
@@ -45,9 +52,24 @@
 	if a.Class != b.Class {
 		return a.Class < b.Class
 	}
+	if a.Work != b.Work {
+		return a.Work < b.Work
+	}
 	return a.By < b.By
 }
 
+// Work is the filling work among tasks that are not done, in core-seconds by
+// the client's estimates; left is their number in step i.
+func Work(steps []workload.Step, left func(i int) int) float64 {
+	sum := 0.0
+	for i := range steps {
+		if s := &steps[i]; s.Fills {
+			sum += float64(left(i)) * float64(s.Need.CPU) / 1000 * s.Estimate.Seconds()
+		}
+	}
+	return sum
+}
+
 // Chain is the longest chain of work among the steps that are not done, by
 // the client's estimates.
 func Chain(steps []workload.Step, done func(i int) bool) time.Duration {
--- a/decide/order/order_test.go
+++ b/decide/order/order_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -100,3 +101,34 @@
 		t.Errorf("in time: %d in the order of acceptance, %d ranked", plain, ranked)
 	}
 }
+
+// Three jobs share the room of one: in the order of their deadlines the large
+// one, which came first, takes all of it and the small ones end late. The
+// least work left comes first within a class; a job that can end in time comes
+// before one that can't, however small that is.
+func TestLeastWorkLeftComesFirst(t *testing.T) {
+	step := func(count int) workload.Step {
+		return workload.Step{Count: count, Need: workload.Resources{CPU: 7000}, Estimate: 2 * time.Second, Fills: true}
+	}
+	steps := []workload.Step{step(4), step(10), {Count: 3, Need: workload.Resources{CPU: 1000}, Estimate: time.Second}}
+	if got := Work(steps, func(i int) int { return steps[i].Count - 1 }); got != 12*14 {
+		t.Errorf("work left %v, want %v core-seconds", got, 12*14)
+	}
+	large := Key{Work: 800, By: 5 * time.Second}
+	small := Key{Work: 60, By: 9 * time.Second}
+	nearly := Key{Work: 14, By: 9 * time.Second}
+	late := Key{Class: Late, Work: 1, By: time.Second}
+	counted := Key{By: 20 * time.Second}
+	urgent := Key{Priority: -1, Class: Overdue, Work: 900}
+	want := []Key{urgent, counted, nearly, small, large, late}
+	got := []Key{late, large, counted, nearly, urgent, small}
+	slices.SortFunc(got, func(a, b Key) int {
+		if a.Less(b) {
+			return -1
+		}
+		return 1
+	})
+	if !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
--- a/decide/pressure/pace.go
+++ b/decide/pressure/pace.go
@@ -1,6 +1,9 @@
 package pressure
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Tuning of the pace.
 const (
@@ -34,9 +37,11 @@
 	Over time.Duration
 }
 
-// Filling is the filling work of one image on a worker.
+// Filling is the filling work of one job and image on a worker.
 type Filling struct {
 	Image string
+	// Rank orders the jobs: the least is worked on first.
+	Rank int
 	// Used is the share of the worker in use, Wanted what the tasks would
 	// use at full pace.
 	Used, Wanted float64
@@ -48,61 +53,101 @@
 // to be without load where nothing smaller was seen.
 const baseOfTarget = 1 / 4.5
 
-// Pace returns the pace of each image: as fast as the tails of all serving
+// Pace returns the pace of each filling: as fast as the tails of all serving
 // tasks allow. Work that presses on none runs at full speed.
+//
+// What the tasks bear goes to the fillings in the order of their ranks. Shared
+// alike among jobs that together press too much, it would end all of them too
+// late to be of use.
 func Pace(serving []Serving, filling []Filling, weight func(Pair) Weight) []float64 {
-	paces := make([]float64, len(filling))
-	for i := range filling {
-		paces[i] = min(1, filling[i].Pace+rise)
+	spare := make([]float64, len(serving))
+	for k := range serving {
+		spare[k] = serving[k].spare(filling, weight)
 	}
-	for _, s := range serving {
-		if s.Target <= 0 || s.Tail <= 0 {
-			continue
+	paces := make([]float64, len(filling))
+	for _, i := range byRank(filling) {
+		f := &filling[i]
+		pace := min(1, f.Pace+rise)
+		for k := range serving {
+			pace = min(pace, serving[k].bound(f, spare[k], weight))
 		}
-		s.limit(filling, paces, weight)
-	}
-	for i := range paces {
-		if paces[i] < slowest {
-			paces[i] = 0
+		if pace < slowest {
+			pace = 0
+		}
+		for k := range serving {
+			spare[k] -= pace * serving[k].load(f, weight)
 		}
+		paces[i] = pace
 	}
 	return paces
 }
 
-// limit lowers paces to what one serving task bears.
-func (s *Serving) limit(filling []Filling, paces []float64, weight func(Pair) Weight) {
+func byRank(filling []Filling) []int {
+	order := make([]int, len(filling))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(i, k int) bool { return filling[order[i]].Rank < filling[order[k]].Rank })
+	return order
+}
+
+// measured reports whether there is a figure to go by.
+func (s *Serving) measured() bool { return s.Target > 0 && s.Tail > 0 }
+
+// spare is the load that filling work may put on the task.
+func (s *Serving) spare(filling []Filling, weight func(Pair) Weight) float64 {
+	if !s.measured() {
+		return 0
+	}
 	base := s.Base
 	if base <= 0 || base > s.Tail {
 		base = min(s.Tail, baseOfTarget*s.Target)
 	}
-	now, full := 0.0, 0.0
-	for _, f := range filling {
-		w := weight(Pair{Serving: s.Image, Filling: f.Image})
-		if w.Value <= harmless && w.Known {
-			continue
+	now := 0.0
+	for i := range filling {
+		if w := s.pressing(&filling[i], weight); w > 0 {
+			now += w * filling[i].Used
 		}
-		now += w.Value * f.Used
-		full += w.Value * f.Wanted
 	}
 	own := max(0, 1-base/s.Tail-now)
-	allowed := max(0, 1-base/(goal*s.Target)-own-margin)
-	bound := 1.0
-	if full > allowed {
-		bound = allowed / full
+	return max(0, 1-base/(goal*s.Target)-own-margin)
+}
+
+// pressing is the weight of f on the task, 0 if f is known to be harmless.
+func (s *Serving) pressing(f *Filling, weight func(Pair) Weight) float64 {
+	w := weight(Pair{Serving: s.Image, Filling: f.Image})
+	if w.Known && w.Value <= harmless {
+		return 0
 	}
-	for i, f := range filling {
-		w := weight(Pair{Serving: s.Image, Filling: f.Image})
-		switch {
-		case w.Known && w.Value <= harmless:
-			if s.Over > 2*overFor {
-				paces[i] = 0
-			}
-		case s.Over > overFor:
-			paces[i] = 0
-		case !w.Known && s.Tail > goal*s.Target:
-			paces[i] = min(paces[i], bound, f.Pace*unknownCut)
-		default:
-			paces[i] = min(paces[i], bound)
+	return w.Value
+}
+
+// load is what f would put on the task at full pace.
+func (s *Serving) load(f *Filling, weight func(Pair) Weight) float64 {
+	return s.pressing(f, weight) * f.Wanted
+}
+
+// bound is the pace that the task bears of f, with spare left for it.
+func (s *Serving) bound(f *Filling, spare float64, weight func(Pair) Weight) float64 {
+	if !s.measured() {
+		return 1
+	}
+	w := weight(Pair{Serving: s.Image, Filling: f.Image})
+	if w.Known && w.Value <= harmless {
+		if s.Over > 2*overFor {
+			return 0
 		}
+		return 1
+	}
+	if s.Over > overFor {
+		return 0
+	}
+	pace := 1.0
+	if load := s.load(f, weight); load > spare {
+		pace = max(0, spare) / load
+	}
+	if !w.Known && s.Tail > goal*s.Target {
+		pace = min(pace, f.Pace*unknownCut)
 	}
+	return pace
 }
--- a/decide/pressure/pressure_test.go
+++ b/decide/pressure/pressure_test.go
@@ -99,6 +99,43 @@
 	}
 }
 
+// Five jobs of one image press on a serving task that bears two of them. Shared
+// alike, each would crawl and all would end late. The first two by rank work at
+// full speed, and the others stand still; what does not press is not held up
+// by any of them, and where two images serve, the tighter one bounds.
+func TestPaceGoesByRank(t *testing.T) {
+	weights := known(map[Pair]float64{{"a", "presses"}: 2, {"a", "harmless"}: 0, {"b", "presses"}: 2, {"b", "harmless"}: 0})
+	calm := Serving{Image: "a", Tail: 6, Target: 18, Base: 4}
+	near := Serving{Image: "b", Tail: 15, Target: 18, Base: 4}
+	jobs := func(image string, ranks ...int) (list []Filling) {
+		for _, rank := range ranks {
+			list = append(list, Filling{Image: image, Rank: rank, Wanted: 0.08, Pace: 1})
+		}
+		return list
+	}
+	cases := []struct {
+		name    string
+		serving []Serving
+		filling []Filling
+		want    []float64
+	}{
+		{"the first two", []Serving{calm}, jobs("presses", 4, 0, 2, 1, 3), []float64{0, 1, 0.3, 1, 0}},
+		{"harmless ones go on", []Serving{calm}, append(jobs("presses", 0, 1, 2), jobs("harmless", 7)...), []float64{1, 1, 0.3, 1}},
+		{"harmless ones take nothing", []Serving{calm}, append(jobs("harmless", 0, 1), jobs("presses", 2, 3)...), []float64{1, 1, 1, 1}},
+		{"the tighter one bounds", []Serving{calm, near}, jobs("presses", 0, 1), []float64{0, 0}},
+		{"equal ranks in their order", []Serving{calm}, jobs("presses", 0, 0, 0, 0), []float64{1, 1, 0.3, 0}},
+	}
+	for _, c := range cases {
+		got := Pace(c.serving, c.filling, weights)
+		for i := range got {
+			if math.Abs(got[i]-c.want[i]) > 0.15 {
+				t.Errorf("%s: paces %.2f, want about %.2f", c.name, got, c.want)
+				break
+			}
+		}
+	}
+}
+
 // groups: images a1 and a2 are pressed on alike, b1 by others.
 func groups(a, b string) float64 {
 	if a[0] == b[0] {
--- a/entry/scheduler/health.go
+++ b/entry/scheduler/health.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// judge takes the end of a run into account that began at placed.
-func (t *Term) judge(w *worker, e workload.End, placed time.Time) {
-	now := t.deps.Now()
+// judge takes the end of a run into account that began at placed. It reports
+// whether that made the worker suspect.
+func (w *worker) judge(e workload.End, placed time.Time, now time.Duration) bool {
 	before := w.health.suspect(now)
 	switch {
 	case e.Kind == workload.EndDone && placed.After(w.health.since):
@@ -65,10 +65,13 @@
 	case e.Kind == workload.EndFailed:
 		w.health.failed(e.Run.Task.Job, now)
 	}
-	if !before && w.health.suspect(now) {
-		t.deps.Counters.Suspected.Add(1)
-		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("jobs", len(w.health.failing)).Msg("worker fails what it starts")
-	}
+	return !before && w.health.suspect(now)
+}
+
+// suspected tells that a worker gets nothing for a while.
+func (t *Term) suspected(w *worker) {
+	t.deps.Counters.Suspected.Add(1)
+	t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("jobs", len(w.health.failing)).Msg("worker fails what it starts")
 }
 
 // turnedAway notes that the worker turned a start away.
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -46,6 +46,8 @@
 	// when.
 	told   uint64
 	toldAt time.Duration
+	// toldOrder is the order of filling jobs that the agent has.
+	toldOrder []workload.JobID
 }
 
 func (t *Term) newLink(node, address string) *agentLink {
@@ -109,6 +111,9 @@
 			continue
 		}
 		t.mu.Lock()
+		if len(args.Order) > 0 && reply.Refused == "" {
+			l.toldOrder = args.Order
+		}
 		wake := l.apply(&reply)
 		t.mu.Unlock()
 		if wake {
@@ -126,6 +131,7 @@
 		args.Worker = l.worker.id
 		args.Seen = l.worker.stored
 		l.tellPressure(&args)
+		args.Order = l.changedOrder()
 	}
 	return args
 }
@@ -215,7 +221,7 @@
 func (l *agentLink) newProcess(process uint64) {
 	l.process = process
 	l.since = 0
-	l.told = 0
+	l.told, l.toldOrder = 0, nil
 	l.repeatOrders()
 }
 
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -107,7 +107,12 @@
 		o := j.occurrences[0]
 		left = order.Chain(j.spec.Steps, func(i int) bool { return o.steps[i].complete() })
 	}
-	return order.Rank(j.queue, accepted, now, whole, left)
+	key := order.Rank(j.queue, accepted, now, whole, left)
+	if len(j.occurrences) > 0 {
+		o := j.occurrences[0]
+		key.Work = order.Work(j.spec.Steps, func(i int) int { return len(o.steps[i].tasks) - o.steps[i].done })
+	}
+	return key
 }
 
 func (t *Term) planJob(v *view, j *job) {
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -280,7 +280,9 @@
 		return
 	}
 	w.remove(e.Run)
-	t.judge(w, e, k.placedAt)
+	if w.judge(e, k.placedAt, t.deps.Now()) {
+		t.suspected(w)
+	}
 	t.settle(j, s, k, e, w)
 	t.mark(j)
 }
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -88,6 +88,9 @@
 	Pressure []PairWeight
 	// Base is the lowest tail seen of each serving image, in milliseconds.
 	Base map[string]float64
+	// Order lists the jobs with filling runs on the worker, those that are
+	// worked on first at the front, if it has changed.
+	Order []workload.JobID
 }
 
 // PairWeight is how much an image of filling work presses on a serving one.
