Lasting tasks are not kept away from where they failed

Lasting tasks have no attempts to lose: they are no longer kept away from workers in doubt or suspect, only placed elsewhere first, as before. Others stay away for 2 s after their own failure instead of 5 s after the latest of any. Tests: the case of a lasting task (true before, false now) and the time limit.

--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -36,6 +36,10 @@
 	OfStep int
 	// Barred excludes the worker, whatever its room.
 	Barred bool
+	// Shunned excludes it for tasks that end by themselves, of which each has
+	// a bounded number of attempts. Lasting ones have no such bound, and must
+	// not wait beside free room.
+	Shunned bool
 }
 
 // Request is what a task needs.
@@ -97,7 +101,7 @@
 }
 
 func fits(s *workload.Step, w *Candidate) bool {
-	if w.Barred || !s.Reserved().Fits(w.Free) || !CouldTake(s, w) {
+	if w.Barred || w.Shunned && !s.Lasting || !s.Reserved().Fits(w.Free) || !CouldTake(s, w) {
 		return false
 	}
 	return !s.Fills || w.FillLoad+s.Need.CPU <= unused(w)
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -14,7 +14,7 @@
 	// run, and lost with their worker. Relocated are filling runs that were
 	// stopped to run elsewhere, Regrouped serving ones, Rescued those taken
 	// from workers on which they got on too slowly. Suspected counts how often
-	// a worker got nothing any more since it failed what it started.
+	// a worker got no more tasks that end by themselves, since it failed them.
 	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued, Suspected atomic.Int64
 	// Commits counts the transactions and their repeats, CommitErrors those
 	// without success.
--- a/entry/scheduler/health.go
+++ b/entry/scheduler/health.go
@@ -10,10 +10,14 @@
 const (
 	// suspectAfter is the number of jobs in a row of which a run failed.
 	suspectAfter = 3
-	// suspectFor is how long such a worker gets nothing, and how long a task
-	// that failed on a worker stays away from it unless another one has ended
-	// well there meanwhile.
+	// suspectFor is how long such a worker gets no tasks that end by
+	// themselves.
 	suspectFor = 5 * time.Second
+	// awayFor is how long a task that failed on a worker stays away from it
+	// unless one that began later has ended well there meanwhile: with four
+	// attempts it outlasts most faults, and where no other worker has room the
+	// client still sees its job go on.
+	awayFor = 2 * time.Second
 	// suspectShare is the part of a service's workers up to which suspects get
 	// nothing. Where more fail, the fault may be the jobs'; then suspects are
 	// only used last.
@@ -27,8 +31,10 @@
 // milliseconds, and so is always the emptiest. Tasks come back to it until
 // their attempts are used up, and many jobs fail that could have been done.
 // The guard: a task that failed there stays away while nothing has ended well,
-// so it loses one attempt; from the third job on the worker gets nothing. Runs
-// that began before the first failure may still end well and prove nothing.
+// so it loses one attempt; from the third job on the worker gets no more of
+// them. Runs that began before the first failure may still end well and prove
+// nothing. Lasting tasks have no attempts to lose, and are only placed
+// elsewhere first.
 type health struct {
 	failing map[workload.JobID]bool
 	// since is the first of these failures, last the latest.
@@ -41,7 +47,7 @@
 
 // doubted reports whether runs failed lately, and none ended well since.
 func (h *health) doubted(now time.Duration) bool {
-	return len(h.failing) > 0 && now < h.last+suspectFor
+	return len(h.failing) > 0 && now < h.last+awayFor
 }
 
 func (h *health) failed(id workload.JobID, now time.Duration) {
@@ -79,8 +85,9 @@
 	w.health.until = max(w.health.until, now+suspectFor/2)
 }
 
-// barSuspects bars the candidates that are suspect, if they are few enough.
-func (v *view) barSuspects() {
+// shunSuspects keeps tasks off the candidates that are suspect, if they are
+// few enough.
+func (v *view) shunSuspects() {
 	suspects, all := 0, 0
 	for i := range v.candidates {
 		if c := &v.candidates[i]; !c.Barred {
@@ -94,15 +101,15 @@
 		return
 	}
 	for i := range v.candidates {
-		v.candidates[i].Barred = v.candidates[i].Barred || v.candidates[i].Suspect
+		v.candidates[i].Shunned = v.candidates[i].Suspect
 	}
 }
 
-// staysAway reports whether a task that failed on candidate avoid must not
-// run there: nothing shows that the worker does better now, and there are
-// others that could take it, if not at once.
-func (v *view) staysAway(s *workload.Step, avoid int) bool {
-	if avoid < 0 || !v.workers[avoid].health.doubted(v.now) {
+// staysAway reports whether a task that failed on candidate avoid at failedAt
+// must not run there: nothing shows that the worker does better now, and there
+// are others that could take it, if not at once.
+func (v *view) staysAway(s *workload.Step, avoid int, failedAt time.Duration) bool {
+	if avoid < 0 || s.Lasting || v.now >= failedAt+awayFor || !v.workers[avoid].health.doubted(v.now) {
 		return false
 	}
 	for i, w := range v.workers {
--- a/entry/scheduler/health_test.go
+++ b/entry/scheduler/health_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -47,7 +48,9 @@
 }
 
 // Where a task failed it does not run again while that is in doubt, as long as
-// another worker could ever take it; a deployment's only worker takes it.
+// another worker could ever take it; a deployment's only worker takes it. A
+// lasting task has no attempts to lose: kept away, it once stood still for 14 s
+// beside the only free room, since other tasks went on failing there.
 func TestFailedTaskStaysAwayWhileOthersCouldTakeIt(t *testing.T) {
 	small, large := workload.Resources{CPU: 1000}, workload.Resources{CPU: 8000}
 	step := func(cpu int, label string) *workload.Step {
@@ -67,6 +70,7 @@
 		{"no other has the label", step(500, "gold"), []workload.Resources{large}, nil, false},
 		{"the other leaves", step(500, ""), []workload.Resources{large}, func(ws []*worker) { ws[1].info.Draining = true }, false},
 		{"the other is in doubt, too", step(500, ""), []workload.Resources{large}, func(ws []*worker) { ws[1].judge(ended("x", workload.EndFailed), time.Now(), time.Hour) }, false},
+		{"a lasting task", &workload.Step{Need: workload.Resources{CPU: 500}, Lasting: true}, []workload.Resources{small}, nil, false},
 		{"cleared since", step(500, ""), []workload.Resources{large}, func(ws []*worker) { ws[0].health.failing = nil }, false},
 	}
 	for _, c := range cases {
@@ -81,18 +85,22 @@
 			c.change(v.workers)
 		}
 		v.serve("s")
-		if got := v.staysAway(c.step, 0); got != c.want {
+		if got := v.staysAway(c.step, 0, v.now); got != c.want {
 			t.Errorf("%s: stays away %t, want %t", c.name, got, c.want)
 		}
-		if v.staysAway(c.step, -1) {
+		if v.staysAway(c.step, 0, v.now-awayFor) {
+			t.Errorf("%s: still away after %v, though others went on failing there", c.name, awayFor)
+		}
+		if v.staysAway(c.step, -1, v.now) {
 			t.Errorf("%s: a task that never failed stays away", c.name)
 		}
 	}
 }
 
-// One of four suspects gets nothing, so that filling work that is barred from
-// the others doesn't all end there; where half are suspect the fault may be
-// the jobs', and nothing may stand still.
+// One suspect of four gets nothing that has attempts to lose, so that filling
+// work that is barred from the others doesn't all end there; where half are
+// suspect the fault may be the jobs', and nothing may stand still. Lasting
+// tasks may go to suspects that alone have room.
 func TestSuspectsGetNothingWhileTheyAreFew(t *testing.T) {
 	for _, c := range []struct{ suspects, of, barred int }{{0, 4, 0}, {1, 4, 1}, {2, 4, 0}, {1, 1, 0}, {4, 4, 0}, {2, 6, 2}} {
 		v := &view{now: time.Hour}
@@ -105,11 +113,17 @@
 			v.workers = append(v.workers, w)
 		}
 		v.serve("s")
-		barred := 0
+		barred, lasting := 0, 0
 		for i := range v.candidates {
-			if v.candidates[i].Barred {
+			if placement.Choose(placement.Request{Step: &workload.Step{}, Avoid: -1}, v.candidates[i:i+1]) < 0 {
 				barred++
 			}
+			if placement.Choose(placement.Request{Step: &workload.Step{Lasting: true}, Avoid: -1}, v.candidates[i:i+1]) < 0 {
+				lasting++
+			}
+		}
+		if lasting != 0 {
+			t.Errorf("%d suspects of %d: %d barred for lasting tasks", c.suspects, c.of, lasting)
 		}
 		if barred != c.barred {
 			t.Errorf("%d suspects of %d: %d barred, want %d", c.suspects, c.of, barred, c.barred)
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -43,8 +43,9 @@
 	// often the task was taken from a worker for that.
 	slow    bool
 	rescues int
-	// avoid is the worker where the task failed last.
-	avoid workload.WorkerID
+	// avoid is the worker where the task failed last, at failedAt.
+	avoid    workload.WorkerID
+	failedAt time.Duration
 	// notBefore delays the next run after repeated failures.
 	notBefore time.Time
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -64,7 +64,7 @@
 	for _, w := range v.workers {
 		v.candidates = append(v.candidates, w.candidate(service, v.now))
 	}
-	v.barSuspects()
+	v.shunSuspects()
 }
 
 // refresh brings the list of active jobs and their queues up to date.
@@ -158,7 +158,7 @@
 			continue
 		}
 		avoid := v.index(k.avoid)
-		away := v.staysAway(s.spec, avoid)
+		away := v.staysAway(s.spec, avoid, k.failedAt)
 		n := placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, Never: away, Rack: v.rackOfStep(s)}, v.candidates)
 		switch {
 		case n < 0 && away:
@@ -243,7 +243,7 @@
 	others := false
 	for i := range v.candidates {
 		switch {
-		case v.candidates[i].Barred:
+		case v.candidates[i].Barred || v.candidates[i].Shunned:
 		case v.candidates[i].Presses:
 			barred = append(barred, i)
 		case s.Need.Fits(v.candidates[i].Capacity):
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -317,7 +317,7 @@
 
 func (t *Term) failed(j *job, s *step, k *task, e workload.End, w *worker) {
 	k.fails++
-	k.avoid = w.id
+	k.avoid, k.failedAt = w.id, t.deps.Now()
 	j.release(s, k, e.Checkpoint)
 	if s.spec.Lasting {
 		k.notBefore = time.Now().Add(min(maxFailedPause, failedPause*time.Duration(k.fails-1)))
