--- a/entry/scheduler/health.go
+++ b/entry/scheduler/health.go
@@ -18,8 +18,8 @@
 	// attempts it outlasts most faults, and where no other worker has room the
 	// client still sees its job go on.
 	awayFor = 2 * time.Second
-	// suspectShare is the part of a service's workers up to which suspects get
-	// nothing. Where more fail, the fault may be the jobs'; then suspects are
+	// suspectShare is the part of a service's workers up to which that holds.
+	// Where more fail, the fault may be the jobs'; then suspects are
 	// only used last.
 	suspectShare = 1.0 / 3
 )
@@ -74,7 +74,8 @@
 	return !before && w.health.suspect(now)
 }
 
-// suspected tells that a worker gets nothing for a while.
+// suspected tells that a worker gets no tasks with attempts to lose for a
+// while.
 func (t *Term) suspected(w *worker) {
 	t.deps.Counters.Suspected.Add(1)
 	t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("jobs", len(w.health.failing)).Msg("worker fails what it starts")
