dev prints its welcome when its first line has been answered

Cause: an agent that starts admits nothing for two seconds, since calls that an earlier agent admitted may still run; dev printed the line before that, and it was answered with 503 not-ready for 2.0 s.

Ruled out: announcements of the sample servers (they come at once, and once more when the agent's incarnation is new). The two seconds are a guard and stay.

--- a/cmd/persimmonrock/dev.go
+++ b/cmd/persimmonrock/dev.go
@@ -1,18 +1,19 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
-	"bytes"
-	"encoding/json"
-
 	"persimmonrock.example/cmd/node"
 	"persimmonrock.example/cmd/sample"
 	"persimmonrock.example/ops/keys"
@@ -23,6 +24,14 @@
 // devStopTimeout bounds the planned stop of the sample deployment.
 const devStopTimeout = 20 * time.Second
 
+const (
+	// devReadyTimeout bounds the wait for the sample services, which takes the
+	// two seconds for which a new agent admits nothing.
+	devReadyTimeout = 15 * time.Second
+	// devReadyPause is the time between two tries.
+	devReadyPause = 20 * time.Millisecond
+)
+
 // runDev runs a whole deployment in this process until Ctrl-C.
 func runDev(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("dev", flag.ContinueOnError)
@@ -47,6 +56,10 @@
 		fmt.Fprintln(stderr, err)
 		return exitError
 	}
+	if err := awaitAnswered(ctx, s, key); err != nil && ctx.Err() == nil {
+		fmt.Fprintln(stderr, err)
+		return exitError
+	}
 	printWelcome(stdout, s, key)
 	<-ctx.Done()
 	fmt.Fprintln(stdout, "stopping: calls in progress finish, batch tasks are checkpointed")
@@ -89,12 +102,59 @@
 	return key, nil
 }
 
+// awaitAnswered returns when the urgent call that printWelcome shows has been
+// answered.
+//
+// Failure guarded against: an agent that starts admits nothing for two seconds,
+// since calls that an earlier agent admitted may still run; a user who copies
+// the printed line before that is told not-ready, and takes the product to be
+// broken. The line is therefore made here first, by the sample's own idempotent
+// service, until it succeeds.
+func awaitAnswered(ctx context.Context, s *node.Sample, key string) error {
+	bounded, cancel := context.WithTimeout(ctx, devReadyTimeout)
+	defer cancel()
+	for {
+		status, err := callSample(bounded, s, key)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-bounded.Done():
+			return fmt.Errorf("the sample services don't answer after %v: status %d, %w", devReadyTimeout, status, errors.Join(err, bounded.Err()))
+		case <-time.After(devReadyPause):
+		}
+	}
+}
+
+// callSample makes the urgent call that printWelcome shows.
+func callSample(ctx context.Context, s *node.Sample, key string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, urgentURL(s), strings.NewReader(urgentBody))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, err
+}
+
+// urgentBody is the body of the sample call.
+const urgentBody = `{"sample":"GN-17"}`
+
+func urgentURL(s *node.Sample) string {
+	return fmt.Sprintf("http://%s/v1/services/%s/call", s.Entries[0].HTTPAddress(), sample.AssayCheck)
+}
+
 func printWelcome(w io.Writer, s *node.Sample, key string) {
 	entry := "http://" + s.Entries[0].HTTPAddress()
 	fmt.Fprintf(w, `persimmonrock runs: %d entries, %d agents, services %s, %s and %s, batch kind %s.
 
 An urgent call:
-  curl -s -H 'Authorization: Bearer %s' -d '{"sample":"GN-17"}' %s/v1/services/assay-check/call
+  curl -s -H 'Authorization: Bearer %s' -d '%s' %s
 
 A batch job:
   curl -s -H 'Authorization: Bearer %s' -d '{"kind":"grade-report","payload":{"samples":50}}' %s/v1/jobs
@@ -104,5 +164,5 @@
 
 Ctrl-C stops it.
 `, len(s.Entries), len(s.Agents), sample.AssayCheck, sample.ReceiptCheck, sample.LodgeClaim, sample.GradeReport,
-		key, entry, key, entry, entry, s.OperatorKey)
+		key, urgentBody, urgentURL(s), key, entry, entry, s.OperatorKey)
 }
