An entry's first job is stamped with the store's time

Cause: an entry learnt the store's time only from its own writes of jobs, so the first job after its start carried its own machine's time. On a machine that has been up for less long than the store such a job is overdue at once, and waits behind all others.

Ruled out: the scheduler's own clock (set from its lease), the listing of jobs.

Now the answer that brings the configuration sets the clock; no job is accepted without one. The new test fails before (stamped 10 ms, want an hour).

--- /dev/null
+++ b/entry/intake/clock_test.go
@@ -0,0 +1,59 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/entry/scheduler"
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/structs/workload"
+)
+
+// A long job that was the first at an entry waited behind all others until
+// nobody wanted it any more. The entry had not written to the store before, so
+// it knew no time of the store, and stamped the job with that of its own
+// machine, which had been up for less long: the scheduler took it for hours old.
+func TestFirstJobIsStampedWithTheStoresTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		key := rowstore.Key{Table: "op", Key: "config"}
+		store := memstore.New(1)
+		time.Sleep(time.Hour)
+		rows := store.Client("entry-1")
+		if _, err := rows.Apply(ctx, rowstore.Txn{Puts: []rowstore.Put{{Key: key, Value: []byte("{}")}}}); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) }
+		clock := NewStoreClock(now)
+		config := NewFollower(rows, ConfigSource{Key: key, Parse: func([]byte) (*workload.Config, error) { return &workload.Config{}, nil }}, zerolog.Nop(), clock)
+		elector := scheduler.NewElector(scheduler.Config{Node: "entry-1"}, scheduler.Deps{Store: rows, Log: zerolog.Nop(), Now: now, Counters: &scheduler.Counters{}})
+		service := New(rows, config, elector, clock, zerolog.Nop())
+		go config.Run(ctx)
+		for config.Current() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if err := service.Submit(ctx, workload.Queue{Name: "q"}, workload.Job{ID: "00000000000000a1", Steps: []workload.Step{{Count: 1}}}); err != nil {
+			t.Fatal(err)
+		}
+		row, err := rowstore.Get(ctx, rows, scheduler.JobKey("00000000000000a1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var job workload.Job
+		if err := json.Unmarshal(row.Value, &job); err != nil {
+			t.Fatal(err)
+		}
+		if accepted := time.Duration(job.Accepted) * time.Millisecond; accepted < time.Hour || accepted > time.Hour+time.Minute {
+			t.Errorf("stamped %v after the store began; it was about an hour", accepted)
+		}
+	})
+}
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -42,11 +42,19 @@
 	// heard is when the store last answered, on now's clock.
 	heard atomic.Int64
 	now   func() time.Duration
+	clock *StoreClock
 }
 
-// NewFollower returns a follower without a configuration.
-func NewFollower(store rowstore.Store, source ConfigSource, log zerolog.Logger, now func() time.Duration) *Follower {
-	return &Follower{store: store, source: source, log: log, now: now}
+// NewFollower returns a follower without a configuration. It sets clock by each
+// answer.
+//
+// Failure guarded against: an entry that has written no job yet knows no time
+// of the store, and stamps its first job with its own machine's, hours off. The
+// job then counts as overdue, and waits behind all others, or stays in time for
+// ever. No job is accepted without a configuration, so the answer that brought
+// it has set the clock.
+func NewFollower(store rowstore.Store, source ConfigSource, log zerolog.Logger, clock *StoreClock) *Follower {
+	return &Follower{store: store, source: source, log: log, now: clock.now, clock: clock}
 }
 
 // Current returns the configuration in force, or nil.
@@ -85,6 +93,7 @@
 			f.log.Warn().Msg("configuration feed regained")
 		}
 		f.heard.Store(int64(f.now()))
+		f.clock.Set(at)
 		after, listed = max(after, at.Version), true
 		for _, row := range rows {
 			if row.Key == f.source.Key && !row.Deleted {
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -259,13 +259,14 @@
 	log := w.log.With().Str("process", e.Node).Int("start", e.count).Logger()
 	direct := &cutStore{Store: w.Store.Client(e.Node), world: w, node: e.Node}
 	rows := relay.New(direct, e.Node, w.link(e.Node), log)
-	config := intake.NewFollower(rows, noConfig, log, w.now)
+	clock := intake.NewStoreClock(w.now)
+	config := intake.NewFollower(rows, noConfig, log, clock)
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Power: w.power(e), Grant: grant, StatusFor: 2 * time.Minute,
 	}, scheduler.Deps{
 		Store: rows, Log: log, Now: w.now, Config: config.Current, Link: w.link(e.Node), Policy: w.advisor, Counters: &scheduler.Counters{},
 	})
-	service := intake.New(rows, config, elector, intake.NewStoreClock(w.now), log)
+	service := intake.New(rows, config, elector, clock, log)
 	server := rpc.NewServer()
 	must(server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}))
 	must(server.RegisterName("Relay", rows.Service()))
