explain -summary tells where the time of jobs with filling work went

Purpose: to say what binds, from the logs that operators have. Each job is followed back from its end along the slowest task of each step; every stretch of its time gets one cause.

Tests: a job made by hand whose causes sum up to its time; the same log with each line missing in turn.

--- a/cmd/persimmonrock/explain.go
+++ b/cmd/persimmonrock/explain.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"persimmonrock.example/ops/breakdown"
 )
 
 // explainCommand reads the log files of all processes, since an engineer who
@@ -26,6 +28,11 @@
     persimmonrock explain 5c0e7a21d94b36f8 entry-1.log entry-2.log agent-*.log
     cat *.log | persimmonrock explain 5c0e7a21d94b36f8.0.1.17
 
+With -summary, tell where the time of all jobs with filling work went: at
+work, waiting for a worker, paced down beside serving tasks, run again.
+
+    persimmonrock explain -summary entry-*.log agent-*.log
+
 Times are those of each process's own clock.
 `
 
@@ -33,9 +40,13 @@
 	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() { fmt.Fprint(stderr, explainUsage) }
+	summary := flags.Bool("summary", false, "sum up all jobs with filling work")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
+	if *summary {
+		return runSummary(flags.Args(), stdout, stderr)
+	}
 	if flags.NArg() == 0 {
 		flags.Usage()
 		return exitUsage
@@ -55,6 +66,41 @@
 	return exitOK
 }
 
+// runSummary prints where the time of jobs went.
+func runSummary(files []string, stdout, stderr io.Writer) int {
+	var all breakdown.Log
+	err := eachLog(files, all.Read)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitError
+	}
+	report := all.Report()
+	if err := report.Print(stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitError
+	}
+	return exitOK
+}
+
+// eachLog reads the files, or standard input if there are none.
+func eachLog(files []string, read func(io.Reader) error) error {
+	if len(files) == 0 {
+		return eris.Wrap(read(os.Stdin), "standard input")
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = read(f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return eris.Wrap(err, name)
+		}
+	}
+	return nil
+}
+
 // logLine is one structured line.
 type logLine struct {
 	Time    int64  `json:"time"`
@@ -94,20 +140,8 @@
 
 func readStory(id string, files []string) ([]*logLine, error) {
 	var lines []*logLine
-	if len(files) == 0 {
-		err := scanLog(os.Stdin, id, &lines)
-		return sorted(lines), eris.Wrap(err, "standard input")
-	}
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, err
-		}
-		err = scanLog(f, id, &lines)
-		_ = f.Close() // it was only read
-		if err != nil {
-			return nil, eris.Wrap(err, name)
-		}
+	if err := eachLog(files, func(r io.Reader) error { return scanLog(r, id, &lines) }); err != nil {
+		return nil, err
 	}
 	return sorted(lines), nil
 }
--- a/cmd/persimmonrock/explain_test.go
+++ b/cmd/persimmonrock/explain_test.go
@@ -56,3 +56,20 @@
 		}
 	}
 }
+
+func TestExplainSummary(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "a.log")
+	if err := os.WriteFile(file, []byte(entryLog+agentLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs strings.Builder
+	if status := runExplain(t.Context(), []string{"-summary", file}, &out, &errs); status != exitOK {
+		t.Errorf("status %d: %s", status, errs.String())
+	}
+	if want := "jobs with filling work: 0 in time"; !strings.Contains(out.String(), want) {
+		t.Errorf("no %q in:\n%s", want, out.String())
+	}
+	if status := runExplain(t.Context(), []string{"-summary", file + ".none"}, &out, &errs); status != exitError {
+		t.Errorf("no such file: status %d", status)
+	}
+}
--- /dev/null
+++ b/ops/breakdown/breakdown_test.go
@@ -0,0 +1,106 @@
+package breakdown
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+// A job of two steps, on an objective of 12 s. Its first step has one task
+// that waits a second; the second step waits for it. Of its three tasks two
+// work for two seconds; the third is stopped after one, starts elsewhere half a
+// second later, stands still for two and works for three.
+const sampleLog = `
+{"process":"entry-1","job":"j1","objective":12000,"time":10000,"message":"job known"}
+{"process":"entry-1","run":"j1.0.0.0#1","worker":"w1","time":11000,"message":"placed"}
+{"process":"agent-1","run":"j1.0.0.0#1","image":"f","fills":true,"cpu":4000,"time":11100,"message":"start"}
+{"process":"agent-1","run":"j1.0.0.0#1","how":"done","time":13100,"message":"run ended"}
+{"process":"entry-1","run":"j1.0.0.0#1","how":"done","ran":2100,"time":13100,"message":"run ended"}
+{"process":"entry-1","run":"j1.0.1.0#1","worker":"w1","time":13100,"message":"placed"}
+{"process":"entry-1","run":"j1.0.1.1#1","worker":"w1","time":13100,"message":"placed"}
+{"process":"entry-1","run":"j1.0.1.2#1","worker":"w2","time":13100,"message":"placed"}
+{"process":"agent-1","run":"j1.0.1.0#1","image":"f","fills":true,"cpu":4000,"time":13100,"message":"start"}
+{"process":"agent-1","run":"j1.0.1.1#1","image":"f","fills":true,"cpu":4000,"time":13100,"message":"start"}
+{"process":"agent-2","run":"j1.0.1.2#1","image":"f","fills":true,"cpu":4000,"time":13100,"message":"start"}
+{"process":"entry-1","run":"j1.0.1.2#1","how":"stopped","ran":1000,"time":14100,"message":"run ended"}
+{"process":"agent-2","run":"j1.0.1.2#1","how":"stopped","checkpoint":false,"time":14100,"message":"run ended"}
+{"process":"entry-1","run":"j1.0.1.2#2","worker":"w3","time":14600,"message":"placed"}
+{"process":"agent-3","run":"j1.0.1.2#2","image":"f","fills":true,"cpu":4000,"time":14600,"message":"start"}
+{"process":"entry-1","run":"j1.0.1.0#1","how":"done","ran":2000,"time":15100,"message":"run ended"}
+{"process":"entry-1","run":"j1.0.1.1#1","how":"done","ran":2000,"time":15100,"message":"run ended"}
+{"process":"agent-3","job":"j1","image":"f","pace":0,"time":15600,"message":"pace"}
+{"process":"agent-3","job":"j1","image":"f","pace":1,"time":17600,"message":"pace"}
+{"process":"agent-3","job":"j2","image":"f","pace":0,"time":17700,"message":"pace"}
+{"process":"entry-1","run":"j1.0.1.2#2","how":"done","ran":5000,"time":19600,"message":"run ended"}
+{"process":"entry-1","job":"j1","state":"completed","time":19700,"message":"job ended"}
+{"process":"entry-1","job":"j2","objective":12000,"time":12000,"message":"job known"}
+{"process":"agent-3","run":"j2.0.0.0#1","image":"f","fills":true,"cpu":4000,"time":17700,"message":"start"}
+{"process":"agent-1","run":"s.0.0.0#1","image":"a","over":1500,"filled":true,"time":18000,"message":"tail was over its target"}
+{"process":"agent-1","run":"s.0.0.1#1","image":"a","over":1000,"filled":false,"time":18000,"message":"tail was over its target"}
+  12.3 edge not a structured line {broken
+`
+
+func TestReport(t *testing.T) {
+	var l Log
+	if err := l.Read(strings.NewReader(sampleLog)); err != nil {
+		t.Fatal(err)
+	}
+	r := l.Report()
+	if r.ByClass[InTime].Jobs != 1 || r.Unfinished != 1 || r.Over != 2.5 || r.OverFilled != 1.5 {
+		t.Errorf("%d in time, %d not ended, over %.1f and %.1f s", r.ByClass[InTime].Jobs, r.Unfinished, r.Over, r.OverFilled)
+	}
+	want := [causes]float64{Working: 4, Longest: 1, Waiting: 1, Paced: 2, Again: 1.5, Recording: 0.2}
+	total := 0.0
+	for c, seconds := range r.ByClass[InTime].Seconds {
+		total += seconds
+		if math.Abs(seconds-want[c]) > 1e-9 {
+			t.Errorf("%s: %.2f s, want %.2f", Cause(c).Name(), seconds, want[c])
+		}
+		if core := r.ByClass[InTime].Core[c]; math.Abs(core-4*seconds) > 1e-9 {
+			t.Errorf("%s: %.2f core-seconds, want %.2f", Cause(c).Name(), core, 4*seconds)
+		}
+	}
+	if math.Abs(total-9.7) > 1e-9 {
+		t.Errorf("the causes sum up to %.2f s, the job took 9.7", total)
+	}
+	var text strings.Builder
+	if err := r.Print(&text); err != nil || !strings.Contains(text.String(), "1 in time, 0 late") {
+		t.Errorf("%v:\n%s", err, text.String())
+	}
+}
+
+// What a stopped run saved is not lost: its work counts with that of the next.
+func TestSavedWorkIsNotDoneAgain(t *testing.T) {
+	var l Log
+	if err := l.Read(strings.NewReader(strings.Replace(sampleLog, `"checkpoint":false`, `"checkpoint":true`, 1))); err != nil {
+		t.Fatal(err)
+	}
+	got := l.Report().ByClass[InTime].Seconds
+	want := [causes]float64{Working: 4, Longest: 2, Waiting: 1, Paced: 2, Again: 0.5, Recording: 0.2}
+	for c := range got {
+		if math.Abs(got[c]-want[c]) > 1e-9 {
+			t.Errorf("%s: %.2f s, want %.2f", Cause(c).Name(), got[c], want[c])
+		}
+	}
+}
+
+// An operator may give logs of an entry alone, or of a moment: what is missing
+// must not become a cause.
+func TestReportOfPartsOfALog(t *testing.T) {
+	lines := strings.Split(strings.TrimSpace(sampleLog), "\n")
+	for skip := range lines {
+		var l Log
+		part := append(append([]string{}, lines[:skip]...), lines[skip+1:]...)
+		if err := l.Read(strings.NewReader(strings.Join(part, "\n"))); err != nil {
+			t.Fatal(err)
+		}
+		r := l.Report()
+		for class := range r.ByClass {
+			for c, seconds := range r.ByClass[class].Seconds {
+				if seconds < 0 || seconds > 20 {
+					t.Errorf("without line %d: %s takes %.1f s", skip, Cause(c).Name(), seconds)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/ops/breakdown/jobs.go
@@ -0,0 +1,158 @@
+package breakdown
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Log is what was read of all log files.
+type Log struct {
+	lines []line
+}
+
+// run is one run of a task; times are in milliseconds, 0 where not known.
+type run struct {
+	placed, started, ended float64
+	process, image         string
+	how                    string
+	cpu                    float64
+	fills                  bool
+	// saved says that its work was not lost with it.
+	saved bool
+}
+
+// task is the runs of one task, in the order in which they were placed.
+type task struct {
+	step int
+	runs []*run
+}
+
+func (t *task) last() *run { return t.runs[len(t.runs)-1] }
+
+// end is when the task was done, or 0.
+func (t *task) end() float64 {
+	if r := t.last(); r.how == "done" {
+		return r.ended
+	}
+	return 0
+}
+
+type job struct {
+	id               string
+	known, objective float64
+	ended            float64
+	state            string
+	fills            bool
+	tasks            map[string]*task
+	byName           map[string]*run
+}
+
+// paceKey names what has one pace: the filling work of one job and image
+// beside an agent.
+type paceKey struct {
+	process, job, image string
+}
+
+type paceChange struct {
+	at, pace float64
+}
+
+// history is the jobs and paces of a log.
+type history struct {
+	jobs  map[string]*job
+	paces map[paceKey][]paceChange
+	// over sums, in milliseconds, how long serving tasks were over their
+	// targets, and overFilled that of it with filling work beside them.
+	over, overFilled float64
+	first            float64
+}
+
+func (l *Log) history() *history {
+	slices.SortStableFunc(l.lines, func(a, b line) int { return cmp.Compare(a.Time, b.Time) })
+	h := &history{jobs: map[string]*job{}, paces: map[paceKey][]paceChange{}, first: math.Inf(1)}
+	for i := range l.lines {
+		h.take(&l.lines[i])
+	}
+	return h
+}
+
+func (h *history) job(id string) *job {
+	j := h.jobs[id]
+	if j == nil {
+		j = &job{id: id, tasks: map[string]*task{}, byName: map[string]*run{}}
+		h.jobs[id] = j
+	}
+	return j
+}
+
+func (h *history) take(l *line) {
+	switch l.Message {
+	case "job known":
+		j := h.job(l.Job)
+		if j.known == 0 {
+			j.known, j.objective = l.Time, l.Objective
+			h.first = min(h.first, l.Time)
+		}
+	case "job ended":
+		j := h.job(l.Job)
+		j.ended, j.state = l.Time, l.State
+	case "pace":
+		k := paceKey{l.Process, l.Job, l.Image}
+		h.paces[k] = append(h.paces[k], paceChange{l.Time, l.Pace})
+	case "tail was over its target":
+		h.over += l.Over
+		if l.Filled {
+			h.overFilled += l.Over
+		}
+	case "placed", "start", "run ended":
+		h.takeRun(l)
+	}
+}
+
+func (h *history) takeRun(l *line) {
+	name, ok := parseRun(l.Run)
+	if !ok {
+		return
+	}
+	j := h.job(name.job)
+	r := j.byName[l.Run]
+	if r == nil {
+		r = &run{}
+		j.byName[l.Run] = r
+		t := j.tasks[name.task]
+		if t == nil {
+			t = &task{step: name.step}
+			j.tasks[name.task] = t
+		}
+		t.runs = append(t.runs, r)
+	}
+	switch {
+	case l.Message == "placed":
+		r.placed = l.Time
+	case l.Message == "start":
+		r.started, r.process, r.image, r.cpu, r.fills = l.Time, l.Process, l.Image, l.CPU, l.Fills
+		j.fills = j.fills || l.Fills
+	case l.Ran != nil:
+		r.ended, r.how = l.Time, l.How
+	default:
+		r.saved = l.Checkpoint
+	}
+}
+
+// worked is how long a run worked between two times, counted as if at full
+// pace.
+func (h *history) worked(id string, r *run, from, to float64) float64 {
+	sum, at, pace := 0.0, from, 1.0
+	for _, c := range h.paces[paceKey{r.process, id, r.image}] {
+		if c.at >= to {
+			break
+		}
+		if c.at > at {
+			sum += pace * (c.at - at)
+			at = c.at
+		}
+		pace = c.pace
+	}
+	return sum + pace*max(0, to-at)
+}
--- /dev/null
+++ b/ops/breakdown/print.go
@@ -0,0 +1,43 @@
+package breakdown
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Print writes the report as tables.
+func (r *Report) Print(w io.Writer) error {
+	fmt.Fprintf(w, "jobs with filling work: %d in time, %d late, %d overdue, %d failed, %d cancelled, %d not ended\n\n",
+		r.ByClass[InTime].Jobs, r.ByClass[Late].Jobs, r.ByClass[Overdue].Jobs, r.Failed, r.Cancelled, r.Unfinished)
+	fmt.Fprintf(w, "serving tasks were over their targets for %.1f s, %.1f s of it beside filling work\n\n", r.Over, r.OverFilled)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(table, "time of the slowest tasks, s\tjobs\t")
+	for c := range causes {
+		fmt.Fprintf(table, "%s\t", c.Name())
+	}
+	fmt.Fprintln(table)
+	var all Sum
+	for c := range classes {
+		s := &r.ByClass[c]
+		row(table, c.Name(), s.Jobs, s.Seconds)
+		jobs := all.Jobs + s.Jobs
+		all.join(*s)
+		all.Jobs = jobs
+	}
+	row(table, "all", all.Jobs, all.Seconds)
+	row(table, "all, core-seconds", all.Jobs, all.Core)
+	for i := range r.ByMoment {
+		s := &r.ByMoment[i]
+		row(table, fmt.Sprintf("known from %d s", i*momentLength/1000), s.Jobs, s.Seconds)
+	}
+	return table.Flush()
+}
+
+func row(w io.Writer, name string, jobs int, values [causes]float64) {
+	fmt.Fprintf(w, "%s\t%d\t", name, jobs)
+	for _, v := range values {
+		fmt.Fprintf(w, "%.1f\t", v)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/ops/breakdown/read.go
@@ -0,0 +1,76 @@
+package breakdown
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// longestLine bounds one line of a log, in bytes.
+const longestLine = 1 << 20
+
+// line is what is read of a structured line; times are in milliseconds.
+type line struct {
+	Time      float64 `json:"time"`
+	Process   string  `json:"process"`
+	Message   string  `json:"message"`
+	Job       string  `json:"job"`
+	Run       string  `json:"run"`
+	Image     string  `json:"image"`
+	How       string  `json:"how"`
+	State     string  `json:"state"`
+	Fills     bool    `json:"fills"`
+	CPU       float64 `json:"cpu"`
+	Pace      float64 `json:"pace"`
+	Objective float64 `json:"objective"`
+	Over      float64 `json:"over"`
+	Filled    bool    `json:"filled"`
+	// Checkpoint says that the run left one at its end.
+	Checkpoint bool `json:"checkpoint"`
+	// Ran is set where the scheduler tells of an end.
+	Ran *float64 `json:"ran"`
+}
+
+// Read takes the lines of one log file, in any order with others. What stands
+// before a line's first brace, as some collectors put a time there, is passed
+// over, and so is a line that is not structured.
+func (l *Log) Read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		brace := strings.IndexByte(string(text), '{')
+		if brace < 0 {
+			continue
+		}
+		var one line
+		if json.Unmarshal(text[brace:], &one) == nil {
+			l.lines = append(l.lines, one)
+		}
+	}
+	return eris.Wrap(scanner.Err(), "read a log")
+}
+
+// runName is a run's name, taken apart: JOB.OCCURRENCE.STEP.INDEX#RUN.
+type runName struct {
+	job  string
+	step int
+	task string
+}
+
+func parseRun(name string) (runName, bool) {
+	task, _, ok := strings.Cut(name, "#")
+	parts := strings.Split(task, ".")
+	if !ok || len(parts) != 4 {
+		return runName{}, false
+	}
+	step, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return runName{}, false
+	}
+	return runName{job: parts[0], step: step, task: task}, true
+}
