Jobs are ranked by the times that tasks are learnt to take

Hypothesis: the order of filling jobs (class, least work left) is mostly noise, since it goes by the clients' estimates.

Change: agents tell with each end how long the run worked, counted as if at full pace; the scheduler learns a line per queue (decide/order.Durations), and a step's own ended tasks outweigh it.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -239,6 +239,10 @@
 			continue
 		}
 		l.got = e.Number
+		if x := l.runs[e.Run]; x != nil && x.workedAt > 0 {
+			x.account(r.deps.Now())
+			e.Worked = x.worked
+		}
 		delete(l.runs, e.Run)
 		l.ends = append(l.ends, endEntry{end: e, changed: r.touch(true)})
 		r.counters.Ends++
@@ -259,6 +263,9 @@
 	if x.state != dispatch.RunPresent {
 		x.state = dispatch.RunPresent
 		x.confirmedAt = r.deps.Now()
+		if ok {
+			x.workedAt = x.confirmedAt
+		}
 		x.changed = r.touch(!ok)
 	}
 	if s.Checkpoint != "" && s.Checkpoint != x.checkpoint {
@@ -272,7 +279,9 @@
 		r.deps.Log.Info().Stringer("run", x.id).Int("progress", x.progress).Int("before", x.firstProgress).
 			Dur("watched", r.deps.Now()-x.firstAt).Dur("estimate", x.estimate).Msg("run gets on slowly")
 	}
+	since := x.overSince
 	x.measure(s.Rough, r.deps.Now())
+	r.tellOver(l, x, since)
 }
 
 // applyAbsent takes note that a listing lacks a run.
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -100,7 +100,7 @@
 	}
 	r.counters.Starts++
 	r.deps.Log.Info().Stringer("run", o.Run).Uint64("epoch", r.epoch).Int("cpu", o.Need.CPU).Int("memory", o.Need.Memory).
-		Bool("fills", o.Fills).Bool("checkpoint", o.Checkpoint != "").Msg("start")
+		Str("image", o.Image).Bool("fills", o.Fills).Bool("serves", o.TailTarget > 0).Bool("checkpoint", o.Checkpoint != "").Msg("start")
 	go r.start(ctx, l, x)
 }
 
@@ -221,6 +221,7 @@
 	}
 	x.state = dispatch.RunPresent
 	x.confirmedAt = r.deps.Now()
+	x.workedAt = x.confirmedAt
 	x.changed = r.touch(false)
 	if now > l.clock.now {
 		l.clock = clockReading{now: now, at: x.confirmedAt}
--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -102,6 +102,7 @@
 		}
 		pace := int(math.Round(fullPace * l.paceOf(x)))
 		if r.repace(x, pace) {
+			x.account(r.deps.Now())
 			x.pace, x.pacedAt = pace, r.deps.Now()
 			orders = append(orders, paced{run: x.id, pace: pace})
 		}
@@ -117,6 +118,18 @@
 	return 1
 }
 
+// account counts the work until now at the pace so far.
+func (x *run) account(now time.Duration) {
+	if x.workedAt > 0 {
+		pace := fullPace
+		if x.pacedAt > 0 {
+			pace = x.pace
+		}
+		x.worked += (now - x.workedAt) * time.Duration(pace) / fullPace
+	}
+	x.workedAt = now
+}
+
 func worstShare(serving []pressure.Serving) float64 {
 	worst := 0.0
 	for _, s := range serving {
@@ -193,6 +206,24 @@
 	}
 }
 
+// overWorthTelling is how long a tail has to have been over its target for a
+// line in the log: the rough figure alone goes over it for half a second.
+const overWorthTelling = time.Second
+
+// tellOver logs that the tail of a serving task was over its target from since
+// on and no longer is.
+func (r *Runner) tellOver(l *life, x *run, since time.Duration) {
+	over := r.deps.Now() - since
+	if since == 0 || x.overSince != 0 || over < overWorthTelling {
+		return
+	}
+	filled := false
+	for _, o := range l.runs {
+		filled = filled || o.fills && o.state == dispatch.RunPresent
+	}
+	r.deps.Log.Info().Stringer("run", x.id).Str("image", x.image).Dur("over", over).Bool("filled", filled).Msg("tail was over its target")
+}
+
 // filling sums the filling work by job and image.
 func (l *life) filling() []jobFilling {
 	sums := map[paceKey]*jobFilling{}
--- a/agent/runner/pace_test.go
+++ b/agent/runner/pace_test.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/decide/pressure"
+	"persimmonrock.example/infra/workerctl"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -50,3 +51,36 @@
 		t.Errorf("paces %v after another order, want three at work", second)
 	}
 }
+
+// The scheduler learns from the ends of runs how long tasks take. A run that
+// was paced down for most of its time must not count as a long task: what
+// counts is the time that it would have taken at full pace.
+func TestAnEndTellsHowLongTheRunWorked(t *testing.T) {
+	now := time.Hour
+	r := New(Config{}, Deps{Log: zerolog.Nop(), Now: func() time.Duration { return now }})
+	l := &life{runs: map[workload.RunID]*run{}}
+	paced := &run{id: workload.RunID{Task: workload.TaskID{Job: "paced"}, Run: 1}, fills: true, image: "f"}
+	found := workload.RunID{Task: workload.TaskID{Job: "found"}, Run: 1}
+	l.runs[paced.id] = paced
+	r.confirm(l, paced, 0)
+	// A run that was there before this process began has an unknown past.
+	r.applyRunning(l, workerctl.RunStatus{Run: found})
+	tell := func(pace float64) {
+		l.paces = map[paceKey]float64{paced.paceKey(): pace}
+		r.paceOrders(l)
+	}
+	now += time.Second
+	tell(0.25)
+	now += 4 * time.Second
+	tell(0)
+	now += 10 * time.Second
+	tell(1)
+	now += time.Second
+	r.applyEnds(l, []workload.End{{Number: 1, Run: paced.id, Kind: workload.EndDone}, {Number: 2, Run: found, Kind: workload.EndDone}})
+	if got, want := l.ends[0].end.Worked, 3*time.Second; got != want {
+		t.Errorf("worked %v, want %v", got, want)
+	}
+	if got := l.ends[1].end.Worked; got != 0 {
+		t.Errorf("a run with an unknown past worked %v", got)
+	}
+}
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -162,6 +162,10 @@
 	// was never told works at full pace.
 	pace    int
 	pacedAt time.Duration
+	// worked is how long the run had worked at workedAt, counted as if at
+	// full pace.
+	worked   time.Duration
+	workedAt time.Duration
 	// overSince is when the tail of a serving task went over its target; 0
 	// while it is not.
 	overSince time.Duration
--- a/decide/order/order.go
+++ b/decide/order/order.go
@@ -24,8 +24,8 @@
 	// lateFactor is the multiple of its objective within which a job is of
 	// some use to its client.
 	lateFactor = 3
-	// uneven is how much longer the longest task of a step takes than the
-	// client's estimate for all of them.
+	// uneven is how much longer the longest task of a step takes than its
+	// tasks in the middle.
 	uneven = 1.15
 )
 
@@ -55,21 +55,21 @@
 	)
 }
 
-// Work is the filling work among tasks that are not done, in core-seconds by
-// the client's estimates; left is their number in step i.
-func Work(steps []workload.Step, left func(i int) int) float64 {
+// Work is the filling work among tasks that are not done, in core-seconds;
+// left is their number in step i, and each takes as long as took[i].
+func Work(steps []workload.Step, took []time.Duration, left func(i int) int) float64 {
 	sum := 0.0
 	for i := range steps {
 		if s := &steps[i]; s.Fills {
-			sum += float64(left(i)) * float64(s.Need.CPU) / 1000 * s.Estimate.Seconds()
+			sum += float64(left(i)) * float64(s.Need.CPU) / 1000 * took[i].Seconds()
 		}
 	}
 	return sum
 }
 
-// Chain is the longest chain of work among the steps that are not done, by
-// the client's estimates.
-func Chain(steps []workload.Step, done func(i int) bool) time.Duration {
+// Chain is the longest chain of work among the steps that are not done, where
+// the tasks of step i take as long as took[i].
+func Chain(steps []workload.Step, took []time.Duration, done func(i int) bool) time.Duration {
 	finish := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
 	for i := range steps {
@@ -77,7 +77,7 @@
 			finish[i] = max(finish[i], finish[a])
 		}
 		if !done(i) {
-			finish[i] += time.Duration(uneven * float64(steps[i].Estimate))
+			finish[i] += time.Duration(uneven * float64(took[i]))
 		}
 		longest = max(longest, finish[i])
 	}
--- a/decide/order/order_test.go
+++ b/decide/order/order_test.go
@@ -12,16 +12,25 @@
 	return workload.Queue{Priority: priority, Stretch: 2, TargetLatency: time.Second}
 }
 
+func estimates(steps []workload.Step) []time.Duration {
+	took := make([]time.Duration, len(steps))
+	for i := range steps {
+		took[i] = steps[i].Estimate
+	}
+	return took
+}
+
 func TestChainIsTheLongestWayThroughTheSteps(t *testing.T) {
 	steps := []workload.Step{
 		{Estimate: time.Second}, {Estimate: 3 * time.Second}, {Estimate: time.Second, After: []int{0}}, {Estimate: time.Second, After: []int{0, 1}},
 	}
+	took := estimates(steps)
 	none := func(int) bool { return false }
-	if got, want := Chain(steps, none), time.Duration(uneven*float64(4*time.Second)); got.Round(time.Millisecond) != want.Round(time.Millisecond) {
+	if got, want := Chain(steps, took, none), time.Duration(uneven*float64(4*time.Second)); got.Round(time.Millisecond) != want.Round(time.Millisecond) {
 		t.Errorf("chain %v, want %v", got, want)
 	}
 	done := func(i int) bool { return i < 2 }
-	if got, want := Chain(steps, done), time.Duration(uneven*float64(time.Second)); got != want {
+	if got, want := Chain(steps, took, done), time.Duration(uneven*float64(time.Second)); got != want {
 		t.Errorf("chain of what is left %v, want %v", got, want)
 	}
 }
@@ -111,7 +120,7 @@
 		return workload.Step{Count: count, Need: workload.Resources{CPU: 7000}, Estimate: 2 * time.Second, Fills: true}
 	}
 	steps := []workload.Step{step(4), step(10), {Count: 3, Need: workload.Resources{CPU: 1000}, Estimate: time.Second}}
-	if got := Work(steps, func(i int) int { return steps[i].Count - 1 }); got != 12*14 {
+	if got := Work(steps, estimates(steps), func(i int) int { return steps[i].Count - 1 }); got != 12*14 {
 		t.Errorf("work left %v, want %v core-seconds", got, 12*14)
 	}
 	large := Key{Work: 800, By: 5 * time.Second}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -37,6 +37,8 @@
 	pinUntil time.Time
 	// ticket is the permission of the worker for this run.
 	ticket string
+	// worked is how long its earlier runs worked at full speed.
+	worked time.Duration
 	// moves counts how often the task was relocated.
 	moves int
 	// slow says that the run gets on far slower than estimated, rescues how
@@ -56,6 +58,10 @@
 	done  int
 	// waiting counts the tasks that wait, whether their turn has come or not.
 	waiting int
+	// took sums the times of timed tasks that are done, as they would have
+	// been without being slowed.
+	took  time.Duration
+	timed int
 	// advice is set for steps of queues that need the policy service's word.
 	advice *advice
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -91,31 +91,59 @@
 	}
 	now := time.Duration(t.storeNow()) * time.Millisecond
 	for _, j := range t.active {
-		j.key = j.rank(now)
+		j.key = t.rank(j, now)
 	}
 	slices.SortStableFunc(t.active, func(a, b *job) int { return a.key.Compare(b.key) })
 }
 
+// objective is the time within which the client expects the job to end; 0 for
+// jobs that last or repeat, which have none.
+func (j *job) objective() time.Duration {
+	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
+		return 0
+	}
+	took := make([]time.Duration, len(j.spec.Steps))
+	for i := range took {
+		took[i] = j.spec.Steps[i].Estimate
+	}
+	return order.Objective(j.queue, order.Chain(j.spec.Steps, took, func(int) bool { return false }))
+}
+
 // rank is the job's place in the order now.
-func (j *job) rank(now time.Duration) order.Key {
+func (t *Term) rank(j *job, now time.Duration) order.Key {
 	accepted := time.Duration(j.spec.Accepted) * time.Millisecond
 	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
 		return order.Key{Priority: j.queue.Priority, By: accepted}
 	}
-	whole := order.Chain(j.spec.Steps, func(int) bool { return false })
+	took := t.expected(j)
+	whole := order.Chain(j.spec.Steps, took, func(int) bool { return false })
 	left := whole
 	if len(j.occurrences) > 0 {
 		o := j.occurrences[0]
-		left = order.Chain(j.spec.Steps, func(i int) bool { return o.steps[i].complete() })
+		left = order.Chain(j.spec.Steps, took, func(i int) bool { return o.steps[i].complete() })
 	}
 	key := order.Rank(j.queue, accepted, now, whole, left)
 	if len(j.occurrences) > 0 {
 		o := j.occurrences[0]
-		key.Work = order.Work(j.spec.Steps, func(i int) int { return len(o.steps[i].tasks) - o.steps[i].done })
+		key.Work = order.Work(j.spec.Steps, took, func(i int) int { return len(o.steps[i].tasks) - o.steps[i].done })
 	}
 	return key
 }
 
+// expected is how long the tasks of each step of the job are expected to take.
+func (t *Term) expected(j *job) []time.Duration {
+	t.took = t.took[:0]
+	for i := range j.spec.Steps {
+		d := t.durations.Expect(j.spec.Queue.Name, j.spec.Steps[i].Estimate)
+		if len(j.occurrences) > 0 {
+			s := j.occurrences[0].steps[i]
+			d = order.Known(d, s.took, s.timed)
+		}
+		t.took = append(t.took, d)
+	}
+	return t.took
+}
+
 func (t *Term) planJob(v *view, j *job) {
 	v.serve(j.queue.Service)
 	for _, o := range j.occurrences {
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/decide/order"
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
@@ -108,6 +109,9 @@
 	lease        leaseRow
 	leaseVersion uint64
 	storeClock   storeClock
+	// durations learns how long tasks take; took is the space of expected.
+	durations order.Durations
+	took      []time.Duration
 }
 
 // storeClock maps the store's clock to this process's.
@@ -218,7 +222,7 @@
 	j.begin(time.Now())
 	t.deps.Counters.Jobs.Add(1)
 	t.deps.Log.Info().Str("job", string(spec.ID)).Str("queue", spec.Queue.Name).Int("steps", len(spec.Steps)).
-		Int64("age_ms", t.storeNow()-spec.Accepted).Msg("job known")
+		Int64("age_ms", t.storeNow()-spec.Accepted).Dur("objective", j.objective()).Msg("job known")
 	if t.early[spec.ID] {
 		delete(t.early, spec.ID)
 		t.cancelJob(spec.ID)
@@ -288,7 +292,8 @@
 }
 
 func (t *Term) settle(j *job, s *step, k *task, e workload.End, w *worker) {
-	log := t.deps.Log.Info().Stringer("run", e.Run).Str("how", string(e.Kind)).Str("worker", string(w.id)).Dur("ran", time.Since(k.placedAt))
+	log := t.deps.Log.Info().Stringer("run", e.Run).Str("how", string(e.Kind)).Str("worker", string(w.id)).Dur("ran", time.Since(k.placedAt)).
+		Dur("estimate", s.spec.Estimate)
 	defer func() { log.Str("job_state", string(j.state)).Msg("run ended") }()
 	switch {
 	case j.state.Final():
@@ -296,10 +301,12 @@
 	case e.Kind == workload.EndDone && s.spec.Gang:
 		t.finishGang(j, s, e.Run)
 	case e.Kind == workload.EndDone && !s.spec.Lasting:
+		t.timeTask(j, s, k, e)
 		j.finish(s, k)
 	case e.Kind == workload.EndFailed:
 		t.failed(j, s, k, e, w)
 	default:
+		k.worked += e.Worked
 		j.release(s, k, e.Checkpoint)
 		t.breakGang(j, s, e.Run)
 	}
@@ -308,6 +315,17 @@
 	}
 }
 
+// timeTask learns from the time that a task took.
+func (t *Term) timeTask(j *job, s *step, k *task, e workload.End) {
+	if e.Worked <= 0 {
+		return
+	}
+	took := k.worked + e.Worked
+	s.took += took
+	s.timed++
+	t.durations.Observe(j.spec.Queue.Name, s.spec.Estimate, took, len(s.tasks))
+}
+
 // failedPause delays the next run of a lasting task that keeps failing, by
 // this much for each failure, up to maxFailedPause.
 const (
--- a/structs/workload/task.go
+++ b/structs/workload/task.go
@@ -1,10 +1,10 @@
 package workload
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
-
-	"fmt"
+	"time"
 )
 
 // TaskID names one task of one occurrence of a job.
@@ -72,6 +72,9 @@
 	Kind   EndKind
 	// Checkpoint is what the run saved; empty if nothing.
 	Checkpoint string
+	// Worked is how long the run worked, counted as if at full speed; 0 if it
+	// is not known.
+	Worked time.Duration
 }
 
 // WorkerID names one life of the worker beside an agent.
