A pair of images that is not known runs on one worker first

Its agents heard what was learnt up to a second later.

Change: others wait for up to a second while one worker tells; workers with such pairs are listed and sampled each 250 ms; agents are told within 300 ms, and only of what has changed, instead of everything each second.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -145,9 +145,19 @@
 	r.touch(true)
 }
 
+// listingWait is how long a listing of the worker may wait for an end: half as
+// long while its figures may tell whether filling work presses on a serving
+// task, which is to be known before much harm is done.
+func (r *Runner) listingWait(l *life) time.Duration {
+	if r.hasUnknownPair(l) {
+		return holdWait / 2
+	}
+	return holdWait
+}
+
 func (r *Runner) holdOnce(ctx context.Context, l *life) {
 	r.mu.Lock()
-	order := workerctl.HoldOrder{Token: r.cfg.Token, Lease: r.leaseLimit(l), Seen: l.seen, Wait: holdWait}
+	order := workerctl.HoldOrder{Token: r.cfg.Token, Lease: r.leaseLimit(l), Seen: l.seen, Wait: r.listingWait(l)}
 	r.counters.Holds++
 	if l.failures > 0 {
 		// Ends may have come since the call that was lost.
--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -271,10 +271,30 @@
 	return x.pace != pace || r.deps.Now()-x.pacedAt > paceRepeat
 }
 
+// hasUnknownPair reports whether filling work runs beside a serving task of
+// which it is not known whether it presses there.
+func (r *Runner) hasUnknownPair(l *life) bool {
+	for _, s := range l.runs {
+		if !s.atWork() {
+			continue
+		}
+		for _, f := range l.runs {
+			if f.fills && f.state == dispatch.RunPresent && !r.weight(pressure.Pair{Serving: s.image, Filling: f.image}).Known {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // takeSample records what ran together, for the scheduler to learn from.
 func (r *Runner) takeSample(l *life) {
 	now := r.deps.Now()
-	if r.sampleEvery <= 0 || now-r.sampledAt < r.sampleEvery {
+	every := r.sampleEvery
+	if r.hasUnknownPair(l) {
+		every /= 2
+	}
+	if r.sampleEvery <= 0 || now-r.sampledAt < every {
 		return
 	}
 	s := &dispatch.TailSample{}
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -34,8 +34,6 @@
 	// pressingExtra is the load above which it is to run elsewhere. A serving
 	// task has 0.15 to spare at the top of its own load.
 	pressingExtra = 0.05
-	// tellEvery is the least time between two tellings of what was learnt.
-	tellEvery = time.Second
 )
 
 // learner learns which images press on which. The tasks of one job carry the
@@ -50,6 +48,7 @@
 	// latest is the last sample of each worker.
 	latest map[workload.WorkerID]timedSample
 	table  *weightTable
+	trials trials
 }
 
 type timedSample struct {
@@ -238,21 +237,3 @@
 func (l *learner) every(n int) time.Duration {
 	return max(sampleEvery, time.Duration(n)*time.Second/samplesPerSecond)
 }
-
-// tellPressure adds what was learnt of the serving images on the worker.
-func (l *agentLink) tellPressure(args *dispatch.WatchArgs) {
-	t := l.term
-	args.SampleEvery = t.learner.every(len(t.agents))
-	version := t.learner.model.Version()
-	if version == l.told || t.deps.Now()-l.toldAt < tellEvery {
-		return
-	}
-	l.told, l.toldAt = version, t.deps.Now()
-	args.Base = map[string]float64{}
-	for image := range l.worker.images {
-		args.Base[image] = t.learner.base[image]
-		for filling, w := range t.learner.model.Weights(image) {
-			args.Pressure = append(args.Pressure, dispatch.PairWeight{Serving: image, Filling: filling, Value: w.Value, Known: w.Known})
-		}
-	}
-}
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -42,10 +42,8 @@
 	starts map[workload.RunID]dispatch.StartOrder
 	stops  map[workload.RunID]bool
 	silent bool
-	// told is the version of what the agent was told of pressure, toldAt
-	// when.
-	told   uint64
-	toldAt time.Duration
+	// told is what the agent was told of pressure.
+	told toldPressure
 	// toldOrder is the order of filling jobs that the agent has.
 	toldOrder []workload.JobID
 }
@@ -222,7 +220,7 @@
 func (l *agentLink) newProcess(process uint64) {
 	l.process = process
 	l.since = 0
-	l.told, l.toldOrder = 0, nil
+	l.told, l.toldOrder = toldPressure{}, nil
 	l.repeatOrders()
 }
 
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -19,6 +19,7 @@
 	}
 	t.refresh()
 	v := t.newView()
+	t.learner.trials.scan(v.workers, t.learner.weights(), v.now)
 	for _, j := range t.active {
 		if !j.state.Final() {
 			t.planJob(v, j)
@@ -34,8 +35,7 @@
 	service    string
 	candidates []placement.Candidate
 	now        time.Duration
-	// barred is the space of barPressed, which is not called while its last
-	// bar stands.
+	// barred lists the candidates that are barred for the step that is planned.
 	barred []int
 	// pressure is worked out when the first filling step is planned.
 	pressure []workerPressure
@@ -171,8 +171,10 @@
 	switch {
 	case s.spec.Fills:
 		t.press(v, s.spec)
+		defer v.liftBars()
 		if !t.waitedOut(v, j) {
-			defer v.barPressed(s.spec)()
+			v.barPressed(s.spec)
+			v.barTrials(&t.learner, s.spec)
 		}
 	case s.spec.TailTarget > 0:
 		t.mix(v, s.spec)
@@ -198,9 +200,7 @@
 		t.place(v, j, o, si, i, n, k.run+1)
 		switch {
 		case s.spec.Fills:
-			v.pressure[n] = t.learner.pressureOn(v.workers[n])
-			table := t.learner.weights()
-			v.candidates[n].Pressed, _ = table.pressedBy(v.workers[n], &v.pressure[n], s.spec, table.column(s.spec.Image))
+			t.pressMore(v, j, s.spec, n)
 		case s.spec.TailTarget > 0:
 			v.candidates[n].SameImage = true
 		}
@@ -262,13 +262,23 @@
 	return now.Sub(j.idleSince)
 }
 
+// pressMore takes into account that a task of s was placed on candidate n.
+func (t *Term) pressMore(v *view, j *job, s *workload.Step, n int) {
+	w := v.workers[n]
+	table := t.learner.weights()
+	v.pressure[n] = t.learner.pressureOn(w)
+	v.candidates[n].Pressed, _ = table.pressedBy(w, &v.pressure[n], s, table.column(s.Image))
+	t.learner.trials.note(w, s.Image, table, v.now)
+	if !t.waitedOut(v, j) {
+		v.barTrials(&t.learner, s)
+	}
+}
+
 // barPressed bars the workers on whose serving tasks one more task of s would
-// press, if there are others that could hold it, and returns what lifts the
-// bar. A task does better to wait for room where it may work at full speed
+// press, if there are others that could hold it. A task does better to wait for room where it may work at full speed
 // than to creep, and to take serving tasks over their targets.
-func (v *view) barPressed(s *workload.Step) func() {
-	barred := v.barred[:0]
-	defer func() { v.barred = barred }()
+func (v *view) barPressed(s *workload.Step) {
+	barred := v.barred
 	others := false
 	for i := range v.candidates {
 		switch {
@@ -280,16 +290,20 @@
 		}
 	}
 	if !others {
-		return func() {}
+		return
 	}
 	for _, i := range barred {
 		v.candidates[i].Barred = true
 	}
-	return func() {
-		for _, i := range barred {
-			v.candidates[i].Barred = false
-		}
+	v.barred = barred
+}
+
+// liftBars ends the bars of a step.
+func (v *view) liftBars() {
+	for _, i := range v.barred {
+		v.candidates[i].Barred = false
 	}
+	v.barred = v.barred[:0]
 }
 
 // press sets what one more task of s would put on the serving tasks of each
--- a/entry/scheduler/relocate.go
+++ b/entry/scheduler/relocate.go
@@ -52,7 +52,9 @@
 	s := o.steps[si]
 	v.countStep(s)
 	t.press(v, s.spec)
-	defer v.barPressed(s.spec)()
+	v.barPressed(s.spec)
+	v.barTrials(&t.learner, s.spec)
+	defer v.liftBars()
 	moved := 0
 	now := time.Now()
 	for i := range s.tasks {
--- /dev/null
+++ b/entry/scheduler/tell.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"persimmonrock.example/decide/pressure"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// tellEvery is the least time between two tellings of what was learnt, of
+	// which a new pair's first is one.
+	tellEvery = 300 * time.Millisecond
+	// tellAgain is the time after which an agent is told what it was told
+	// before, since that may have been lost on the way.
+	tellAgain = 2 * time.Second
+	// changedWeight is the least change of a weight that is told at once.
+	changedWeight = 0.05
+)
+
+// toldPressure is what an agent was told last.
+type toldPressure struct {
+	// version is that of the model.
+	version uint64
+	at      time.Duration
+	pairs   map[pressure.Pair]pressure.Weight
+}
+
+// tellPressure adds what was learnt of the serving images on the worker, if
+// the agent does not know it.
+func (l *agentLink) tellPressure(args *dispatch.WatchArgs) {
+	t := l.term
+	args.SampleEvery = t.learner.every(len(t.agents))
+	now, version := t.deps.Now(), t.learner.model.Version()
+	if version == l.told.version || now-l.told.at < tellEvery {
+		return
+	}
+	pairs := map[pressure.Pair]pressure.Weight{}
+	for image := range l.worker.images {
+		for filling, w := range t.learner.model.Weights(image) {
+			pairs[pressure.Pair{Serving: image, Filling: filling}] = w
+		}
+	}
+	if now-l.told.at < tellAgain && l.told.tells(pairs) {
+		return
+	}
+	l.told = toldPressure{version: version, at: now, pairs: pairs}
+	args.Base = map[string]float64{}
+	for image := range l.worker.images {
+		args.Base[image] = t.learner.base[image]
+	}
+	for p, w := range pairs {
+		args.Pressure = append(args.Pressure, dispatch.PairWeight{Serving: p.Serving, Filling: p.Filling, Value: w.Value, Known: w.Known})
+	}
+}
+
+// tells reports whether what was told says about the same as pairs.
+func (x *toldPressure) tells(pairs map[pressure.Pair]pressure.Weight) bool {
+	if len(pairs) != len(x.pairs) {
+		return false
+	}
+	for p, w := range pairs {
+		before, ok := x.pairs[p]
+		if !ok || before.Known != w.Known || math.Abs(before.Value-w.Value) > changedWeight {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/entry/scheduler/trials.go
@@ -0,0 +1,105 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/decide/pressure"
+	"persimmonrock.example/structs/workload"
+)
+
+// The first job of a new filling image has ten tasks or so. Placed all at once
+// they ran beside the serving tasks of many workers, and took all of them over
+// their targets before anybody knew that the image presses there: in the log
+// of a calm day one such job did so to five serving tasks on four workers, for
+// 1.3 to 1.7 s each. A pair of images of which it is not known whether it presses
+// therefore runs on one worker first, which tells after two samples.
+//
+// Together with sampling each 250 ms beside such pairs, and telling agents
+// within 300 ms what was learnt, this gained 0.019 ± 0.007 of worth in 60 paired
+// plays of five days with trouble; the faster samples alone 0.021 ± 0.014 in 30.
+const (
+	// trialFor is how long other workers wait for what a trial tells. Samples
+	// of half a second tell after 0.7 to 1 s.
+	trialFor = time.Second
+	// trialPause is how long a pair must not have run together for its next
+	// run to be a new trial.
+	trialPause = 3 * time.Second
+	// trialScan is the time between two looks at what runs together.
+	trialScan = 100 * time.Millisecond
+)
+
+// trial is the worker on which a pair that is not known runs first.
+type trial struct {
+	on    workload.WorkerID
+	began time.Duration
+	last  time.Duration
+}
+
+// trials are those of all pairs. The zero value is ready for use.
+type trials struct {
+	pairs   map[pressure.Pair]trial
+	scanned time.Duration
+}
+
+// scan looks for pairs that are not known and run together.
+func (x *trials) scan(workers []*worker, t *weightTable, now time.Duration) {
+	if now-x.scanned < trialScan && x.pairs != nil {
+		return
+	}
+	x.scanned = now
+	for _, w := range workers {
+		for filling := range w.fills {
+			x.note(w, filling, t, now)
+		}
+	}
+	for p, one := range x.pairs {
+		if now-one.last > trialPause {
+			delete(x.pairs, p)
+		}
+	}
+}
+
+// note takes note that the filling image runs, or is to run, on w.
+func (x *trials) note(w *worker, filling string, t *weightTable, now time.Duration) {
+	if x.pairs == nil {
+		x.pairs = map[pressure.Pair]trial{}
+	}
+	column := t.column(filling)
+	for serving := range w.images {
+		p := pressure.Pair{Serving: serving, Filling: filling}
+		if t.weights[t.row(serving)][column].Known {
+			delete(x.pairs, p)
+			continue
+		}
+		one, ok := x.pairs[p]
+		if !ok || now-one.last > trialPause {
+			one = trial{on: w.id, began: now}
+		}
+		one.last = now
+		x.pairs[p] = one
+	}
+}
+
+// elsewhere reports whether a pair of the filling image and a serving image on
+// w is on trial at another worker.
+func (x *trials) elsewhere(w *worker, filling string, t *weightTable, now time.Duration) bool {
+	for serving := range w.images {
+		one, ok := x.pairs[pressure.Pair{Serving: serving, Filling: filling}]
+		if ok && one.on != w.id && now-one.began < trialFor && !t.weights[t.row(serving)][t.column(filling)].Known {
+			return true
+		}
+	}
+	return false
+}
+
+// barTrials bars the workers on which one more task of s would run a pair that
+// is on trial elsewhere.
+func (v *view) barTrials(l *learner, s *workload.Step) {
+	table := l.weights()
+	for i, w := range v.workers {
+		if !v.candidates[i].Barred && l.trials.elsewhere(w, s.Image, table, v.now) {
+			v.candidates[i].Barred = true
+			v.barred = append(v.barred, i)
+		}
+	}
+}
