--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -274,8 +274,9 @@
 }
 
 // barPressed bars the workers on whose serving tasks one more task of s would
-// press, if there are others that could hold it. A task does better to wait for room where it may work at full speed
-// than to creep, and to take serving tasks over their targets.
+// press, if there are others that could hold it. A task does better to wait
+// for room where it may work at full speed than to creep, and to take serving
+// tasks over their targets.
 func (v *view) barPressed(s *workload.Step) {
 	first := len(v.barred)
 	others := false
