--- a/ops/breakdown/breakdown.go
+++ b/ops/breakdown/breakdown.go
@@ -60,14 +60,6 @@
 	Core [causes]float64
 }
 
-func (s *Sum) total() float64 {
-	sum := 0.0
-	for _, v := range s.Seconds {
-		sum += v
-	}
-	return sum
-}
-
 // Report is where the time of the jobs with filling work went.
 type Report struct {
 	ByClass [classes]Sum
