--- a/agent/survey.go
+++ b/agent/survey.go
@@ -57,3 +57,12 @@
 	}
 	return nil
 }
+
+// Serving is the number of backend servers on the instance that calls are
+// admitted to now.
+func (a *Agent) Serving() int {
+	if a.Ready() != nil {
+		return 0
+	}
+	return a.ledger.Offers().Ready
+}
--- a/cmd/node/agent.go
+++ b/cmd/node/agent.go
@@ -28,6 +28,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Instance: s.Instance, Zone: s.DataCentre, Address: advertised(s.RPC.Advertise, n.sockets.rpc), Seeds: s.Entries,
 		Total: s.Total.Resources(), Lease: s.Lease.Std(), WorkerLease: s.WorkerLease.Std(), MaxBody: s.Limits.BodyBytes,
+		AnnounceEvery: p.AnnounceEvery,
 	}, agent.Deps{
 		Table: p.Table, Objects: p.Objects, Worker: p.Worker, Peers: n.client, Events: n.ring, Log: log, HTTP: &http.Client{Transport: backendTransport(s.Total.Slots)},
 	})
@@ -54,6 +55,9 @@
 	return n, nil
 }
 
+// Serving is the number of backend servers that calls are admitted to now.
+func (a *Agent) Serving() int { return a.agent.Serving() }
+
 // backendTransport keeps one idle connection for each slot, so that a call
 // does not wait for a new one.
 func backendTransport(slots int) *http.Transport {
--- a/cmd/node/cluster.go
+++ b/cmd/node/cluster.go
@@ -26,6 +26,9 @@
 	sampleInstances = 3
 	sampleSlots     = 8
 	loopback        = "127.0.0.1:0"
+	// sampleAnnounce is short, so that the sample serves soon after its start:
+	// in 0.25 s, where an agent's usual second makes it two.
+	sampleAnnounce = 100 * time.Millisecond
 )
 
 // Sample is a whole deployment in one process, with in-memory stand-ins for
@@ -98,7 +101,7 @@
 	worker := memory.NewWorker(memory.WorkerOptions{
 		Instance: c.Instance, Kinds: map[structs.Kind]memory.Program{sample.GradeReport: sample.Report}, Log: log,
 	})
-	n, err := StartAgent(c, Platform{Table: s.table, Objects: s.objects, Worker: worker}, log)
+	n, err := StartAgent(c, Platform{Table: s.table, Objects: s.objects, Worker: worker, AnnounceEvery: sampleAnnounce}, log)
 	if err != nil {
 		return err
 	}
@@ -123,6 +126,17 @@
 	return nil
 }
 
+// Serving reports whether every instance admits calls to all of its backend
+// servers.
+func (s *Sample) Serving() bool {
+	for _, a := range s.Agents {
+		if a.Serving() < len(s.backends)/len(s.Agents) {
+			return false
+		}
+	}
+	return true
+}
+
 // Backend is a running sample backend server.
 type Backend struct {
 	// Address is the server's base URL.
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -27,6 +27,10 @@
 	Table   infra.Table
 	Objects infra.Objects
 	Worker  infra.Worker
+	// AnnounceEvery is the time between two announcements of a backend server
+	// beside the agent; 0 is the agent's own choice. A new agent admits nothing
+	// for twice as long.
+	AnnounceEvery time.Duration
 }
 
 // listeners are a process's two sockets.
