--- a/agent/runner/pace_test.go
+++ b/agent/runner/pace_test.go
@@ -12,6 +12,13 @@
 	"persimmonrock.example/wire/dispatch"
 )
 
+// addRun puts the first run of a job on the worker.
+func (l *life) addRun(job workload.JobID, x run) {
+	x.id = workload.RunID{Task: workload.TaskID{Job: job}, Run: 1}
+	x.state = dispatch.RunPresent
+	l.runs[x.id] = &x
+}
+
 // Runs of four jobs of one image press on a serving task that bears about one
 // of them. They are paced by the scheduler's order and not alike: the first
 // works on, the last stand still, and a job of which the scheduler has not
@@ -22,14 +29,9 @@
 	r.weights = map[pressure.Pair]pressure.Weight{{Serving: "a", Filling: "f"}: {Value: 2, Known: true}}
 	r.base = map[string]float64{"a": 4}
 	l := &life{worker: workload.Worker{Capacity: workload.Resources{CPU: 64000}}, runs: map[workload.RunID]*run{}}
-	add := func(job workload.JobID, x run) {
-		x.id = workload.RunID{Task: workload.TaskID{Job: job}, Run: 1}
-		x.state = dispatch.RunPresent
-		l.runs[x.id] = &x
-	}
-	add("serves", run{image: "a", tailTarget: 18 * time.Millisecond, progress: atWork, rough: 8, rate: 1.0 / 8})
+	l.addRun("serves", run{image: "a", tailTarget: 18 * time.Millisecond, progress: atWork, rough: 8, rate: 1.0 / 8})
 	for _, job := range []workload.JobID{"one", "two", "three", "new"} {
-		add(job, run{image: "f", fills: true, need: workload.Resources{CPU: 6400}})
+		l.addRun(job, run{image: "f", fills: true, need: workload.Resources{CPU: 6400}})
 	}
 	pace := func(order ...workload.JobID) map[workload.JobID]float64 {
 		r.learn(&dispatch.WatchArgs{Order: order})
--- a/agent/runner/unknown_test.go
+++ b/agent/runner/unknown_test.go
@@ -20,23 +20,18 @@
 	r.learn(&dispatch.WatchArgs{SampleEvery: 500 * time.Millisecond, SampleUnknown: 250 * time.Millisecond})
 	r.weights = map[pressure.Pair]pressure.Weight{{Serving: "a", Filling: "known"}: {Value: 2, Known: true}}
 	l := &life{worker: workload.Worker{Capacity: workload.Resources{CPU: 64000}}, runs: map[workload.RunID]*run{}}
-	add := func(job workload.JobID, x run) {
-		x.id = workload.RunID{Task: workload.TaskID{Job: job}, Run: 1}
-		x.state = dispatch.RunPresent
-		l.runs[x.id] = &x
-	}
 	sampled := func(after time.Duration) bool {
 		r.sample = nil
 		now += after
 		r.takeSample(l)
 		return r.sample != nil
 	}
-	add("serves", run{image: "a", tailTarget: 18 * time.Millisecond, progress: atWork, rough: 8, rate: 1.0 / 8})
-	add("known", run{image: "known", fills: true, need: workload.Resources{CPU: 6400}})
+	l.addRun("serves", run{image: "a", tailTarget: 18 * time.Millisecond, progress: atWork, rough: 8, rate: 1.0 / 8})
+	l.addRun("known", run{image: "known", fills: true, need: workload.Resources{CPU: 6400}})
 	if r.listingWait(l) != holdWait || !sampled(time.Second) || sampled(r.sampleEvery/2) {
 		t.Error("beside a known pair a listing waits less, or samples are taken more often")
 	}
-	add("new", run{image: "new", fills: true, need: workload.Resources{CPU: 6400}})
+	l.addRun("new", run{image: "new", fills: true, need: workload.Resources{CPU: 6400}})
 	if r.listingWait(l) >= holdWait || !sampled(time.Second) || !sampled(r.sampleEvery/2) {
 		t.Error("beside an unknown pair figures are as old as beside a known one")
 	}
--- a/cmd/persimmonrock/explain.go
+++ b/cmd/persimmonrock/explain.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"flag"
@@ -15,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"persimmonrock.example/ops/breakdown"
+	"persimmonrock.example/ops/logs"
 )
 
 // explainCommand reads the log files of all processes, since an engineer who
@@ -151,28 +151,15 @@
 	return lines
 }
 
-// longestLine bounds one line of a log.
-const longestLine = 1 << 20
-
-// scanLog adds the lines about id. What stands before a line's first brace,
-// as some collectors put a time there, is passed over, and so is a line that
-// is not structured.
+// scanLog adds the lines about id.
 func scanLog(r io.Reader, id string, lines *[]*logLine) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, longestLine)
-	for scanner.Scan() {
-		text := scanner.Bytes()
-		brace := strings.IndexByte(string(text), '{')
-		if brace < 0 {
-			continue
-		}
+	return logs.EachObject(r, func(object []byte) {
 		var l logLine
-		if json.Unmarshal(text[brace:], &l) != nil || !l.about(id) {
-			continue
+		if json.Unmarshal(object, &l) != nil || !l.about(id) {
+			return
 		}
-		if json.Unmarshal(text[brace:], &l.fields) == nil {
+		if json.Unmarshal(object, &l.fields) == nil {
 			*lines = append(*lines, &l)
 		}
-	}
-	return scanner.Err()
+	})
 }
--- a/entry/scheduler/plan_bench_test.go
+++ b/entry/scheduler/plan_bench_test.go
@@ -11,15 +11,22 @@
 	"persimmonrock.example/structs/workload"
 )
 
+// loadedTerm is a term without workers and jobs, on a clock that the caller may
+// move.
+func loadedTerm(now *time.Duration, queue workload.Queue) *Term {
+	config := &workload.Config{Version: 1, Queues: []workload.Queue{queue}}
+	t := newTerm(context.Background(), Config{}, Deps{Now: func() time.Duration { return *now }, Config: func() *workload.Config { return config }, Counters: &Counters{}}, leaseRow{}, 1, 0, rowstore.Stamp{Now: *now})
+	t.loaded = true
+	t.learner.begin()
+	return t
+}
+
 // crowded is a term of a grown deployment at its busiest: each worker has
 // serving tasks of two images and filling work, and jobs of filling tasks wait.
 func crowded(workers, waiting int) *Term {
 	now := time.Minute
 	queue := workload.Queue{Name: "q", Service: "s", Stretch: 2, MaxAttempts: 3}
-	config := &workload.Config{Version: 1, Queues: []workload.Queue{queue}}
-	t := newTerm(context.Background(), Config{}, Deps{Now: func() time.Duration { return now }, Config: func() *workload.Config { return config }, Counters: &Counters{}}, leaseRow{}, 1, 0, rowstore.Stamp{Now: now})
-	t.loaded = true
-	t.learner.begin()
+	t := loadedTerm(&now, queue)
 	for i := range workers {
 		w := newWorker(workload.WorkerID(fmt.Sprintf("w-%03d", i)), fmt.Sprintf("agent-%d", i))
 		w.alive = true
--- a/entry/scheduler/rank_test.go
+++ b/entry/scheduler/rank_test.go
@@ -1,11 +1,9 @@
 package scheduler
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -16,7 +14,7 @@
 func TestJobsAreRankedByTheTimesThatTasksTook(t *testing.T) {
 	queue := workload.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second}
 	now := time.Minute
-	term := newTerm(context.Background(), Config{}, Deps{Now: func() time.Duration { return now }, Counters: &Counters{}}, leaseRow{}, 1, 0, rowstore.Stamp{})
+	term := loadedTerm(&now, queue)
 	add := func(id workload.JobID, estimate time.Duration) *job {
 		term.addJob(workload.Job{ID: id, Queue: queue, Steps: []workload.Step{{Count: 8, Need: workload.Resources{CPU: 7000}, Estimate: estimate, Fills: true}}})
 		return term.jobs[id]
--- a/entry/scheduler/trials_test.go
+++ b/entry/scheduler/trials_test.go
@@ -1,13 +1,11 @@
 package scheduler
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"persimmonrock.example/decide/pressure"
-	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -16,10 +14,7 @@
 // the test moves, with one waiting job of eight filling tasks of image new.
 func trialTerm(now *time.Duration) *Term {
 	queue := workload.Queue{Name: "q", Service: "s", Stretch: 2}
-	config := &workload.Config{Version: 1, Queues: []workload.Queue{queue}}
-	t := newTerm(context.Background(), Config{}, Deps{Now: func() time.Duration { return *now }, Config: func() *workload.Config { return config }, Counters: &Counters{}}, leaseRow{}, 1, 0, rowstore.Stamp{Now: *now})
-	t.loaded = true
-	t.learner.begin()
+	t := loadedTerm(now, queue)
 	for i := range 4 {
 		w := newWorker(workload.WorkerID(fmt.Sprintf("w-%d", i)), fmt.Sprintf("agent-%d", i))
 		w.alive = true
@@ -33,7 +28,7 @@
 	return t
 }
 
-// used lists on how many workers filling tasks are placed.
+// filledWorkers is the number of workers on which filling tasks are placed.
 func (t *Term) filledWorkers() int {
 	n := 0
 	for _, w := range t.workers {
--- a/ops/breakdown/read.go
+++ b/ops/breakdown/read.go
@@ -1,18 +1,14 @@
 package breakdown
 
 import (
-	"bufio"
 	"encoding/json"
 	"io"
 	"strconv"
 	"strings"
 
-	"github.com/rotisserie/eris"
+	"persimmonrock.example/ops/logs"
 )
 
-// longestLine bounds one line of a log, in bytes.
-const longestLine = 1 << 20
-
 // line is what is read of a structured line; times are in milliseconds.
 type line struct {
 	Time      float64 `json:"time"`
@@ -35,24 +31,14 @@
 	Ran *float64 `json:"ran"`
 }
 
-// Read takes the lines of one log file, in any order with others. What stands
-// before a line's first brace, as some collectors put a time there, is passed
-// over, and so is a line that is not structured.
+// Read takes the lines of one log file, in any order with others.
 func (l *Log) Read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, longestLine)
-	for scanner.Scan() {
-		text := scanner.Bytes()
-		brace := strings.IndexByte(string(text), '{')
-		if brace < 0 {
-			continue
-		}
+	return logs.EachObject(r, func(object []byte) {
 		var one line
-		if json.Unmarshal(text[brace:], &one) == nil {
+		if json.Unmarshal(object, &one) == nil {
 			l.lines = append(l.lines, one)
 		}
-	}
-	return eris.Wrap(scanner.Err(), "read a log")
+	})
 }
 
 // runName is a run's name, taken apart: JOB.OCCURRENCE.STEP.INDEX#RUN.
