Logs of hundreds of workers tell every job, and say what they leave out

Cause: the scheduler wrote a line for each placement and each end, some 2,000 a second at 240 workers, and the limit of 500 kept the first tenths of each second and dropped the rest without a word.

Change: one line for the placements of a step in a plan, one when a step is done, single ends only where they change a plan; the agents tell of each start and end as before. The limit is a hook that sees the message: it spreads a second's lines over its tenths, keeps a fifth for rare kinds, and writes a line that counts what was left out by kind. explain finds a run in a step's line and warns of gaps; -summary takes done ends from the agents.

TestLimitBoundsTheLinesOfASecond expected 51 of 501 lines; the limit keeps a fifth for rare kinds now, so it expects exactly 41, and the bound for all kinds together is checked by a test of its own.

--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -36,8 +36,7 @@
 	// logLines is the number of lines that wait for a slow reader; more are
 	// dropped and counted.
 	logLines = 2000
-	// logsPerSecond bounds the lines of a process. At the load of today an
-	// entry that schedules writes up to 273 in a second.
+	// logsPerSecond bounds the lines of a process.
 	logsPerSecond = 500
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
@@ -70,7 +69,9 @@
 		dropped.Warn().Int("lines", missed).Msg("log lines dropped")
 	})
 	limit := &logs.Limit{PerSecond: logsPerSecond}
-	log := zerolog.New(w).Sample(limit).With().Timestamp().Str("process", settings.Node).Logger()
+	log := zerolog.New(w).With().Timestamp().Str("process", settings.Node).Logger()
+	limit.Tell = logs.TellLeftOut(log)
+	log = log.Hook(limit)
 	dropped = zerolog.New(os.Stderr).With().Timestamp().Str("process", settings.Node).Logger()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	return &program{settings: settings, log: log, limit: limit, flush: func() { _ = w.Close() }}, nil
--- a/cmd/persimmonrock/explain.go
+++ b/cmd/persimmonrock/explain.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -51,21 +52,34 @@
 		flags.Usage()
 		return exitUsage
 	}
-	lines, err := readStory(flags.Arg(0), flags.Args()[1:])
+	lines, gaps, err := readStory(flags.Arg(0), flags.Args()[1:])
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitError
 	}
 	if len(lines) == 0 {
 		fmt.Fprintf(stderr, "no line names %s\n", flags.Arg(0))
+		printGaps(stderr, gaps)
 		return exitError
 	}
 	for _, l := range lines {
 		fmt.Fprintln(stdout, l)
 	}
+	printGaps(stderr, gaps)
 	return exitOK
 }
 
+// printGaps tells of lines that processes left out: the story may lack some.
+func printGaps(w io.Writer, gaps []*logLine) {
+	if len(gaps) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "the logs have gaps, so lines may be missing:")
+	for _, l := range gaps {
+		fmt.Fprintln(w, l)
+	}
+}
+
 // runSummary prints where the time of jobs went.
 func runSummary(files []string, stdout, stderr io.Writer) int {
 	var all breakdown.Log
@@ -108,18 +122,35 @@
 	Message string `json:"message"`
 	Job     string `json:"job"`
 	Run     string `json:"run"`
-	fields  map[string]any
+	// Placements are those of a step of the job; see logs.PlacedRun.
+	Occurrence int      `json:"occurrence"`
+	Step       int      `json:"step"`
+	Placements []string `json:"placements"`
+	fields     map[string]any
 }
 
 // about reports whether the line is about id: a job, or a task or run of it.
 func (l *logLine) about(id string) bool {
-	if l.Job == id {
+	if l.Job == id || isPartOf(l.Run, id) {
 		return true
 	}
-	rest, ok := strings.CutPrefix(l.Run, id)
+	for _, placed := range l.Placements {
+		if p, ok := logs.ParsePlacedRun(placed); ok && isPartOf(p.Name(l.Job, l.Occurrence, l.Step), id) {
+			return true
+		}
+	}
+	return false
+}
+
+// isPartOf reports whether run is id or a run of it.
+func isPartOf(run, id string) bool {
+	rest, ok := strings.CutPrefix(run, id)
 	return ok && (rest == "" || rest[0] == '.' || rest[0] == '#')
 }
 
+// gap reports whether the line tells that others are missing.
+func (l *logLine) gap() bool { return l.Message == logs.MessageLeftOut }
+
 // String gives the line as a person reads it.
 func (l *logLine) String() string {
 	var names []string
@@ -138,28 +169,43 @@
 	return text
 }
 
-func readStory(id string, files []string) ([]*logLine, error) {
-	var lines []*logLine
-	if err := eachLog(files, func(r io.Reader) error { return scanLog(r, id, &lines) }); err != nil {
-		return nil, err
+// readStory returns the lines about id, and those that tell of gaps while it
+// lived, in the order of time.
+func readStory(id string, files []string) (lines, gaps []*logLine, err error) {
+	if err := eachLog(files, func(r io.Reader) error { return scanLog(r, id, &lines, &gaps) }); err != nil {
+		return nil, nil, err
 	}
-	return sorted(lines), nil
+	lines = sorted(lines)
+	if len(lines) > 0 {
+		first, last := lines[0].Time, lines[len(lines)-1].Time+gapLag.Milliseconds()
+		gaps = slices.DeleteFunc(gaps, func(l *logLine) bool { return l.Time < first || l.Time > last })
+	}
+	return lines, sorted(gaps), nil
 }
 
+// gapLag is how much later than the lines that are missing a process may tell
+// of them.
+const gapLag = 2 * time.Second
+
 func sorted(lines []*logLine) []*logLine {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
 	return lines
 }
 
-// scanLog adds the lines about id.
-func scanLog(r io.Reader, id string, lines *[]*logLine) error {
+// scanLog adds the lines about id, and those that tell of gaps.
+func scanLog(r io.Reader, id string, lines, gaps *[]*logLine) error {
 	return logs.EachObject(r, func(object []byte) {
 		var l logLine
-		if json.Unmarshal(object, &l) != nil || !l.about(id) {
+		if json.Unmarshal(object, &l) != nil || !l.gap() && !l.about(id) {
 			return
 		}
-		if json.Unmarshal(object, &l.fields) == nil {
-			*lines = append(*lines, &l)
+		if json.Unmarshal(object, &l.fields) != nil {
+			return
+		}
+		if l.gap() {
+			*gaps = append(*gaps, &l)
+			return
 		}
+		*lines = append(*lines, &l)
 	})
 }
--- a/cmd/persimmonrock/explain_test.go
+++ b/cmd/persimmonrock/explain_test.go
@@ -57,6 +57,36 @@
 	}
 }
 
+// On hundreds of workers a line tells of all placements of a step in a plan,
+// and a process that would write too many lines says which it left out. Asked
+// for one task of the step, the command finds its placement, and it warns that
+// the story may lack lines.
+func TestExplainReadsStepsAndGaps(t *testing.T) {
+	const text = `{"process":"entry-1","job":"5c0e7a21d94b36f8","occurrence":0,"step":1,"placements":["0#1@w-1","17#2@w-2"],"time":1020,"message":"placed"}
+{"process":"entry-1","lines":3,"kinds":{"placed":3},"time":1500,"message":"lines left out"}
+{"process":"entry-1","lines":4,"kinds":{"placed":4},"time":9000,"message":"lines left out"}
+`
+	file := filepath.Join(t.TempDir(), "a.log")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1.17", "5c0e7a21d94b36f8.0.1.17#2"} {
+		var out, errs strings.Builder
+		if status := runExplain(t.Context(), []string{id, file}, &out, &errs); status != exitOK || strings.Count(out.String(), "placed") != 1 {
+			t.Errorf("%s: status %d:\n%s%s", id, status, out.String(), errs.String())
+		}
+		if !strings.Contains(errs.String(), "gaps") || !strings.Contains(errs.String(), "lines=3") || strings.Contains(errs.String(), "lines=4") {
+			t.Errorf("%s: of the gaps: %q", id, errs.String())
+		}
+	}
+	for _, id := range []string{"5c0e7a21d94b36f8.0.1.1", "5c0e7a21d94b36f8.0.0.17", "5c0e7a21d94b36f8.0.1.17#1"} {
+		var out, errs strings.Builder
+		if status := runExplain(t.Context(), []string{id, file}, &out, &errs); status != exitError {
+			t.Errorf("%s is not in the log: status %d:\n%s", id, status, out.String())
+		}
+	}
+}
+
 func TestExplainSummary(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "a.log")
 	if err := os.WriteFile(file, []byte(entryLog+agentLog), 0o600); err != nil {
--- /dev/null
+++ b/entry/scheduler/decisions.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/structs/workload"
+)
+
+// The lines of a term about runs. A step of a job has tens of tasks that are
+// placed together and end well one after the other, thousands a second on
+// hundreds of workers: a line each would be more than a process may write, and
+// what was left out would be missing where a request is to be explained. One
+// line therefore tells of all placements of a step in a plan, and one of its
+// completion; the agents tell of each start and end. Ends that change a plan
+// have a line each.
+
+// placements lists the runs of one step that a plan has placed.
+type placements struct {
+	runs []string
+	// freeCPU is the least CPU that is left on any of their workers.
+	freeCPU int
+}
+
+// add takes a placement.
+func (p *placements) add(index, run int, w workload.WorkerID, freeCPU int) {
+	if len(p.runs) == 0 || freeCPU < p.freeCPU {
+		p.freeCPU = freeCPU
+	}
+	p.runs = append(p.runs, logs.PlacedRun{Index: index, Run: run, Worker: string(w)}.String())
+}
+
+// logPlaced tells of the placements of a step and begins the next list.
+func (t *Term) logPlaced(v *view, j *job, o *occurrence, si int) {
+	if len(v.placed.runs) == 0 {
+		return
+	}
+	logStep(t.deps.Log.Info(), j, o.number, si).Strs("placements", v.placed.runs).Int("free_cpu", v.placed.freeCPU).
+		Int("waiting", o.steps[si].waiting).Int64("wait_ms", t.storeNow()-j.spec.Accepted).Msg("placed")
+	v.placed = placements{}
+}
+
+// logDone tells that all tasks of a step are done.
+func (t *Term) logDone(j *job, s *step, r workload.RunID) {
+	if !s.complete() {
+		return
+	}
+	logStep(t.deps.Log.Info(), j, r.Task.Occurrence, r.Task.Step).Int("tasks", len(s.tasks)).Int("last", r.Task.Index).
+		Int64("age_ms", t.storeNow()-j.spec.Accepted).Str("job_state", string(j.state)).Msg("step done")
+}
+
+// logEnd tells of an end that does not bring its step on.
+func (t *Term) logEnd(j *job, s *step, k *task, e workload.End, w *worker) {
+	t.deps.Log.Info().Stringer("run", e.Run).Str("how", string(e.Kind)).Str("worker", string(w.id)).Dur("ran", time.Since(k.placedAt)).
+		Dur("estimate", s.spec.Estimate).Str("job_state", string(j.state)).Msg("run ended")
+}
+
+func logStep(e *zerolog.Event, j *job, occurrence, step int) *zerolog.Event {
+	return e.Str("job", string(j.spec.ID)).Int("occurrence", occurrence).Int("step", step)
+}
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -39,6 +39,8 @@
 	barred []int
 	// pressure is worked out when the first filling step is planned.
 	pressure []workerPressure
+	// placed lists what was placed of the step that is planned.
+	placed placements
 }
 
 func (t *Term) newView() *view {
@@ -184,6 +186,7 @@
 			} else {
 				t.planStep(v, j, o, si)
 			}
+			t.logPlaced(v, j, o, si)
 			lift()
 		}
 	}
@@ -492,6 +495,5 @@
 	}
 	t.mark(j)
 	t.deps.Counters.Placements.Add(1)
-	t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: run}).Str("worker", string(w.id)).Str("instance", w.agent).
-		Int("free_cpu", v.candidates[n].Free.CPU).Int64("wait_ms", t.storeNow()-j.spec.Accepted).Msg("placed")
+	v.placed.add(i, run, w.id, v.candidates[n].Free.CPU)
 }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -291,17 +291,17 @@
 }
 
 func (t *Term) settle(j *job, s *step, k *task, e workload.End, w *worker) {
-	log := t.deps.Log.Info().Stringer("run", e.Run).Str("how", string(e.Kind)).Str("worker", string(w.id)).Dur("ran", time.Since(k.placedAt)).
-		Dur("estimate", s.spec.Estimate)
-	defer func() { log.Str("job_state", string(j.state)).Msg("run ended") }()
+	counted := false
 	switch {
 	case j.state.Final():
 		j.release(s, k, "")
 	case e.Kind == workload.EndDone && s.spec.Gang:
 		t.finishGang(j, s, e.Run)
+		counted = true
 	case e.Kind == workload.EndDone && !s.spec.Lasting:
 		t.timeTask(j, s, k, e)
 		j.finish(s, k)
+		counted = true
 	case e.Kind == workload.EndFailed:
 		t.failed(j, s, k, e, w)
 	default:
@@ -312,6 +312,11 @@
 	if j.state.Final() && j.final == 0 {
 		j.final = t.storeNow()
 	}
+	if counted {
+		t.logDone(j, s, e.Run)
+		return
+	}
+	t.logEnd(j, s, k, e, w)
 }
 
 // timeTask learns from the time that a task took.
--- a/ops/breakdown/breakdown.go
+++ b/ops/breakdown/breakdown.go
@@ -71,6 +71,9 @@
 	// Over is how long serving tasks were over their targets, in seconds,
 	// OverFilled that of it with filling work beside them.
 	Over, OverFilled float64
+	// LeftOut counts the lines that the processes left out, by message: what
+	// they would have told is missing from the figures.
+	LeftOut map[string]int
 }
 
 // momentLength is the length of a moment in milliseconds.
@@ -79,7 +82,7 @@
 // Report works the log out.
 func (l *Log) Report() Report {
 	h := l.history()
-	r := Report{Over: h.over / 1000, OverFilled: h.overFilled / 1000}
+	r := Report{Over: h.over / 1000, OverFilled: h.overFilled / 1000, LeftOut: h.leftOut}
 	for _, j := range h.jobs {
 		if !j.fills || j.known == 0 {
 			continue
--- a/ops/breakdown/breakdown_test.go
+++ b/ops/breakdown/breakdown_test.go
@@ -4,6 +4,9 @@
 	"math"
 	"strings"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 // A job of two steps, on an objective of 12 s. Its first step has one task
@@ -69,6 +72,54 @@
 	}
 }
 
+// stepLog is sampleLog as a scheduler of hundreds of workers writes it: one
+// line for the placements of a step, none for ends that are done, which the
+// agents tell.
+var stepLog = strings.NewReplacer(
+	`{"process":"entry-1","run":"j1.0.1.0#1","worker":"w1","time":13100,"message":"placed"}
+{"process":"entry-1","run":"j1.0.1.1#1","worker":"w1","time":13100,"message":"placed"}
+{"process":"entry-1","run":"j1.0.1.2#1","worker":"w2","time":13100,"message":"placed"}`,
+	`{"process":"entry-1","job":"j1","occurrence":0,"step":1,"placements":["0#1@w1","1#1@w1","2#1@w2"],"time":13100,"message":"placed"}`,
+	`{"process":"entry-1","run":"j1.0.0.0#1","how":"done","ran":2100,`, `{"process":"agent-1","run":"j1.0.0.0#1","how":"done",`,
+	`{"process":"entry-1","run":"j1.0.1.0#1","how":"done","ran":2000,`, `{"process":"agent-1","run":"j1.0.1.0#1","how":"done",`,
+	`{"process":"entry-1","run":"j1.0.1.1#1","how":"done","ran":2000,`, `{"process":"agent-1","run":"j1.0.1.1#1","how":"done",`,
+	`{"process":"entry-1","run":"j1.0.1.2#2","how":"done","ran":5000,`, `{"process":"agent-3","run":"j1.0.1.2#2","how":"done",`,
+).Replace(sampleLog)
+
+// A scheduler with thousands of runs a second has no line for each: the report
+// must be the same from one line a step and the agents' ends.
+func TestReportOfLinesOfSteps(t *testing.T) {
+	if strings.Contains(stepLog, `"done","ran"`) || strings.Contains(stepLog, `1.1#1","worker"`) {
+		t.Fatal("the sample still has lines of single runs")
+	}
+	reports := make([]Report, 2)
+	for i, text := range []string{sampleLog, stepLog} {
+		var l Log
+		if err := l.Read(strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+		reports[i] = l.Report()
+	}
+	if diff := cmp.Diff(reports[0], reports[1], cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+		t.Errorf("lines of runs (-) and of steps (+):\n%s", diff)
+	}
+}
+
+// A process had to leave lines out. Whoever reads the report must not take
+// its figures for the whole day.
+func TestReportTellsOfGaps(t *testing.T) {
+	const gap = `{"process":"entry-1","lines":12,"kinds":{"placed":10,"step done":2},"time":14000,"message":"lines left out"}`
+	var l Log
+	if err := l.Read(strings.NewReader(sampleLog + gap + "\n" + gap)); err != nil {
+		t.Fatal(err)
+	}
+	r := l.Report()
+	var text strings.Builder
+	if err := r.Print(&text); err != nil || !strings.Contains(text.String(), `gaps: 20 lines "placed"`) {
+		t.Errorf("%v:\n%s", err, text.String())
+	}
+}
+
 // What a stopped run saved is not lost: its work counts with that of the next.
 func TestSavedWorkIsNotDoneAgain(t *testing.T) {
 	var l Log
--- a/ops/breakdown/jobs.go
+++ b/ops/breakdown/jobs.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"persimmonrock.example/ops/logs"
 )
 
 // Log is what was read of all log files.
@@ -66,11 +68,13 @@
 	// targets, and overFilled that of it with filling work beside them.
 	over, overFilled float64
 	first            float64
+	// leftOut counts the lines that processes left out, by message.
+	leftOut map[string]int
 }
 
 func (l *Log) history() *history {
 	slices.SortStableFunc(l.lines, func(a, b line) int { return cmp.Compare(a.Time, b.Time) })
-	h := &history{jobs: map[string]*job{}, paces: map[paceKey][]paceChange{}, first: math.Inf(1)}
+	h := &history{jobs: map[string]*job{}, paces: map[paceKey][]paceChange{}, first: math.Inf(1), leftOut: map[string]int{}}
 	for i := range l.lines {
 		h.take(&l.lines[i])
 	}
@@ -105,21 +109,42 @@
 		if l.Filled {
 			h.overFilled += l.Over
 		}
-	case "placed", "start", "run ended":
+	case "placed":
+		h.takePlaced(l)
+	case "start", "run ended":
 		h.takeRun(l)
+	case logs.MessageLeftOut:
+		for message, n := range l.Kinds {
+			h.leftOut[message] += n
+		}
 	}
 }
 
-func (h *history) takeRun(l *line) {
-	name, ok := parseRun(l.Run)
+// takePlaced takes the placements of a line: a run, or those of a step.
+func (h *history) takePlaced(l *line) {
+	if r := h.run(l.Run); r != nil {
+		r.placed = l.Time
+	}
+	for _, placed := range l.Placements {
+		if p, ok := logs.ParsePlacedRun(placed); ok {
+			if r := h.run(p.Name(l.Job, l.Occurrence, l.Step)); r != nil {
+				r.placed = l.Time
+			}
+		}
+	}
+}
+
+// run returns the run of that name, or nil if it is none.
+func (h *history) run(full string) *run {
+	name, ok := parseRun(full)
 	if !ok {
-		return
+		return nil
 	}
 	j := h.job(name.job)
-	r := j.byName[l.Run]
+	r := j.byName[full]
 	if r == nil {
 		r = &run{}
-		j.byName[l.Run] = r
+		j.byName[full] = r
 		t := j.tasks[name.task]
 		if t == nil {
 			t = &task{step: name.step}
@@ -127,16 +152,29 @@
 		}
 		t.runs = append(t.runs, r)
 	}
+	return r
+}
+
+// takeRun takes a start or an end. The scheduler tells only of ends that do
+// not bring a step on; an agent tells of all.
+func (h *history) takeRun(l *line) {
+	r := h.run(l.Run)
+	if r == nil {
+		return
+	}
 	switch {
-	case l.Message == "placed":
-		r.placed = l.Time
 	case l.Message == "start":
 		r.started, r.process, r.image, r.cpu, r.fills = l.Time, l.Process, l.Image, l.CPU, l.Fills
-		j.fills = j.fills || l.Fills
+		if name, _ := parseRun(l.Run); l.Fills {
+			h.job(name.job).fills = true
+		}
 	case l.Ran != nil:
 		r.ended, r.how = l.Time, l.How
 	default:
 		r.saved = l.Checkpoint
+		if r.ended == 0 {
+			r.ended, r.how = l.Time, l.How
+		}
 	}
 }
 
--- a/ops/breakdown/read.go
+++ b/ops/breakdown/read.go
@@ -29,6 +29,13 @@
 	Checkpoint bool `json:"checkpoint"`
 	// Ran is set where the scheduler tells of an end.
 	Ran *float64 `json:"ran"`
+	// Placements, with Occurrence and Step, are those of a job's step; see
+	// logs.PlacedRun.
+	Occurrence int      `json:"occurrence"`
+	Step       int      `json:"step"`
+	Placements []string `json:"placements"`
+	// Kinds counts the lines that a process left out, by message.
+	Kinds map[string]int `json:"kinds"`
 }
 
 // Read takes the lines of one log file, in any order with others.
--- a/ops/logs/limit_test.go
+++ b/ops/logs/limit_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 )
 
@@ -14,23 +16,77 @@
 	now := time.Unix(100, 0)
 	l := &Limit{PerSecond: 50, Now: func() time.Time { return now }}
 	var out bytes.Buffer
-	log := zerolog.New(&out).Sample(l)
-	for range 500 {
+	log := zerolog.New(&out).Hook(l)
+	for i := range 500 {
+		now = time.Unix(100, int64(i)*int64(2*time.Millisecond))
 		log.Info().Msg("decision")
 	}
 	log.Warn().Msg("store lost")
-	if n := bytes.Count(out.Bytes(), []byte("\n")); n != 51 {
-		t.Errorf("%d lines, want 51", n)
+	n := bytes.Count(out.Bytes(), []byte("\n"))
+	// A fifth of the 50 is kept for rarer kinds.
+	if n != 41 {
+		t.Errorf("%d lines, want 41", n)
 	}
 	if !bytes.Contains(out.Bytes(), []byte("store lost")) {
 		t.Error("a warning was crowded out")
 	}
-	if l.Skipped() != 450 {
-		t.Errorf("%d lines counted as left out, want 450", l.Skipped())
+	if want := int64(501 - n); l.Skipped() != want {
+		t.Errorf("%d lines counted as left out, want %d", l.Skipped(), want)
 	}
-	now = now.Add(time.Second)
+	now = time.Unix(101, 0)
 	log.Info().Msg("decision")
-	if n := bytes.Count(out.Bytes(), []byte("\n")); n != 52 {
-		t.Errorf("%d lines after a second, want 52", n)
+	if after := bytes.Count(out.Bytes(), []byte("\n")); after != n+1 {
+		t.Errorf("%d lines after a second, want %d", after, n+1)
+	}
+}
+
+// A busy scheduler wrote the placements of the first tenths of each second and
+// nothing of the rest, so a request that came later led nowhere, and nothing in
+// the log said that lines were missing.
+func TestLinesLeftOutAreSpreadAndTold(t *testing.T) {
+	now := time.Unix(100, 0)
+	var out bytes.Buffer
+	var told []map[string]int
+	l := &Limit{PerSecond: 100, Now: func() time.Time { return now }, Tell: func(m map[string]int) { told = append(told, m) }}
+	log := zerolog.New(&out).Hook(l)
+	byTenth := map[int]int{}
+	for i := range 1000 {
+		now = time.Unix(100, int64(i)*int64(time.Millisecond))
+		before := out.Len()
+		log.Info().Msg("placed")
+		if out.Len() > before {
+			byTenth[i/100]++
+		}
+		if i%250 == 249 {
+			log.Info().Msg("job failed")
+		}
+	}
+	for tenth := range tenths {
+		if byTenth[tenth] < 100/tenths/2 {
+			t.Errorf("%d lines in tenth %d of a second", byTenth[tenth], tenth)
+		}
+	}
+	if n := bytes.Count(out.Bytes(), []byte("job failed")); n != 4 {
+		t.Errorf("%d of 4 rare lines", n)
+	}
+	now = time.Unix(101, 0)
+	log.Info().Msg("placed")
+	written := bytes.Count(out.Bytes(), []byte("placed")) - 1
+	if diff := cmp.Diff([]map[string]int{{"placed": 1000 - written}}, told); diff != "" {
+		t.Errorf("told of what was left out (-want +got):\n%s", diff)
+	}
+}
+
+// However many kinds of lines there are, their sum stays within the limit.
+func TestManyKindsStayWithinTheLimit(t *testing.T) {
+	now := time.Unix(100, 0)
+	var out bytes.Buffer
+	log := zerolog.New(&out).Hook(&Limit{PerSecond: 100, Now: func() time.Time { return now }})
+	for i := range 2000 {
+		now = time.Unix(100, int64(i)*int64(time.Millisecond/2))
+		log.Info().Msg(fmt.Sprintf("kind %d", i%200))
+	}
+	if n := bytes.Count(out.Bytes(), []byte("\n")); n > 100 {
+		t.Errorf("%d lines, want 100 at most", n)
 	}
 }
--- /dev/null
+++ b/sessions/machines/logs_test.go
@@ -0,0 +1,147 @@
+package machines
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/structs/workload"
+)
+
+// sharedBuffer is a log that all processes write to.
+type sharedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *sharedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *sharedBuffer) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.buf.Reset()
+}
+
+// told is what the lines of a log say of jobs.
+type told struct {
+	// known and ended are jobs, placed, started, ends runs.
+	known, ended          map[string]bool
+	placed, started, ends map[string]bool
+	// perSecond counts the lines of each process and second.
+	perSecond map[string]int
+	leftOut   int
+}
+
+func read(t *testing.T, text []byte) told {
+	t.Helper()
+	x := told{known: map[string]bool{}, ended: map[string]bool{}, placed: map[string]bool{}, started: map[string]bool{}, ends: map[string]bool{}, perSecond: map[string]int{}}
+	err := logs.EachObject(bytes.NewReader(text), func(object []byte) {
+		var l struct {
+			Time             time.Time
+			Process, Message string
+			Job, Run         string
+			Occurrence, Step int
+			Placements       []string
+			Lines            int
+		}
+		if err := json.Unmarshal(object, &l); err != nil {
+			t.Fatalf("%v: %s", err, object)
+		}
+		x.perSecond[fmt.Sprint(l.Process, l.Time.Unix())]++
+		switch l.Message {
+		case "job known":
+			x.known[l.Job] = true
+		case "job ended":
+			x.ended[l.Job] = true
+		case "placed":
+			for _, r := range l.Placements {
+				if p, ok := logs.ParsePlacedRun(r); ok {
+					x.placed[p.Name(l.Job, l.Occurrence, l.Step)] = true
+				}
+			}
+		case "start":
+			x.started[l.Run] = true
+		case "run ended":
+			x.ends[l.Run] = true
+		case logs.MessageLeftOut:
+			x.leftOut += l.Lines
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// 840 tasks a second start on 240 workers, a worker fails and some runs with
+// it. An engineer asks why one of these jobs was late, and all there is are the
+// logs, 500 lines a second of each process: the scheduler wrote two lines a
+// task and left out most of them. Every job is told from the first line to the
+// last, and every run from its placement to its end.
+func TestLogsOfAFleetTellEveryRun(t *testing.T) {
+	const (
+		lines   = 500
+		jobs    = 150
+		width   = 14
+		between = second / 30
+	)
+	log := &sharedBuffer{}
+	opt := Options{Entries: 5, Machines: fleetWorkers, Log: log, LogLines: lines, Outcome: func(r workload.RunID) Outcome {
+		return Outcome{For: second, Fails: r.Run == 1 && r.Task.Index == 3}
+	}}
+	play(t, opt, func(t *testing.T, w *World, c *Client) {
+		// The lines of a fleet that starts are not about jobs; what was left
+		// out of them is told with the first job.
+		submit(t, c, job(jobs, 1))
+		await(t, c, JobID(jobs), workload.Completed, 10*second)
+		log.reset()
+		for n := range jobs {
+			submit(t, c, job(n, width))
+			if n == jobs/2 {
+				w.Agents()[7].NewWorker()
+			}
+			time.Sleep(between)
+		}
+		for n := range jobs {
+			await(t, c, JobID(n), workload.Completed, 20*second)
+		}
+		log.mu.Lock()
+		x := read(t, log.buf.Bytes())
+		log.mu.Unlock()
+		if x.leftOut > 0 {
+			t.Errorf("%d lines were left out", x.leftOut)
+		}
+		for at, n := range x.perSecond {
+			if n > lines {
+				t.Errorf("%s: %d lines", at, n)
+			}
+		}
+		for n := range jobs {
+			id := string(JobID(n))
+			if !x.known[id] || !x.ended[id] {
+				t.Errorf("job %s: known %v, ended %v", id, x.known[id], x.ended[id])
+			}
+		}
+		if len(x.started) < 2*jobs*width {
+			t.Errorf("%d starts told of %d tasks", len(x.started), 2*jobs*width)
+		}
+		for run := range x.started {
+			if !x.placed[run] {
+				t.Errorf("run %s: no placement", run)
+			}
+		}
+		for run := range x.placed {
+			if !x.started[run] && !x.ends[run] {
+				t.Logf("run %s was placed and never started", run)
+			}
+		}
+	})
+}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -25,6 +25,7 @@
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/rowstore/memstore"
 	"persimmonrock.example/infra/wait"
+	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -43,6 +44,8 @@
 	Outcome func(workload.RunID) Outcome
 	// Log takes the programs' logs; nil drops them.
 	Log io.Writer
+	// LogLines bounds the lines of a process in a second; 0 does not.
+	LogLines int
 }
 
 // World is a deployment.
@@ -104,6 +107,15 @@
 	return w
 }
 
+// logOf is the log of a new process of a machine.
+func (w *World) logOf(node string) zerolog.Logger {
+	log := w.log.With().Str("process", node).Logger()
+	if w.opt.LogLines == 0 {
+		return log
+	}
+	return log.Hook(&logs.Limit{PerSecond: w.opt.LogLines, Tell: logs.TellLeftOut(log)})
+}
+
 // Close ends all programs and workers.
 func (w *World) Close() {
 	for _, e := range w.entries {
@@ -256,7 +268,7 @@
 	e.count++
 	w := e.world
 	ctx, cancel := context.WithCancel(context.Background())
-	log := w.log.With().Str("process", e.Node).Int("start", e.count).Logger()
+	log := w.logOf(e.Node).With().Int("start", e.count).Logger()
 	direct := &cutStore{Store: w.Store.Client(e.Node), world: w, node: e.Node}
 	rows := relay.New(direct, e.Node, w.link(e.Node), log)
 	clock := intake.NewStoreClock(w.now)
@@ -443,7 +455,7 @@
 
 func (a *Agent) run(ctx context.Context, c *control) {
 	w := a.world
-	log := w.log.With().Str("process", a.Node).Logger()
+	log := w.logOf(a.Node)
 	registration := runner.Registration{
 		Store: &cutStore{Store: w.Store.Client(a.Node), world: w, node: a.Node}, Node: a.Node, Address: a.Node, Log: log,
 	}
