An agent takes its worker's reports while it still registers

Cause: an agent listened for its worker's reports only after its row was written. A worker that begins together with its agent, as after a power loss, reports at once and then not for 1.1 s; that first report met nothing, and nothing started on the worker until the next.

A worker that leaves before it was listed is forgotten, too.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -58,7 +58,7 @@
 // life may arrive after the next one has begun.
 func (r *Runner) tryCandidate(ctx context.Context, w workload.Worker) {
 	sent := r.deps.Now()
-	listing, err := r.deps.Control.Hold(ctx, w.ID, workerctl.HoldOrder{Token: r.cfg.Token})
+	listing, err := r.deps.Control.Hold(ctx, w.ID, workerctl.HoldOrder{Token: r.token})
 	if err != nil {
 		r.candidateFailed(ctx, w.ID, err)
 		return
@@ -76,7 +76,7 @@
 	r.candidate = nil
 	r.life.changed = r.touch(true)
 	r.deps.Log.Info().Str("worker", string(w.ID)).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).
-		Uint64("token", r.cfg.Token).Msg("worker found")
+		Uint64("token", r.token).Msg("worker found")
 	if r.deps.Found != nil && r.candidateSeq > 0 {
 		go r.deps.Found(ctx, r.life.worker)
 	}
@@ -158,7 +158,7 @@
 
 func (r *Runner) holdOnce(ctx context.Context, l *life) {
 	r.mu.Lock()
-	order := workerctl.HoldOrder{Token: r.cfg.Token, Lease: r.leaseLimit(l), Seen: l.seen, Wait: r.listingWait(l)}
+	order := workerctl.HoldOrder{Token: r.token, Lease: r.leaseLimit(l), Seen: l.seen, Wait: r.listingWait(l)}
 	r.counters.Holds++
 	if l.failures > 0 {
 		// Ends may have come since the call that was lost.
@@ -202,7 +202,7 @@
 	}
 	r.mu.Unlock()
 	if fenced {
-		r.deps.Log.Error().Err(err).Uint64("token", r.cfg.Token).Msg("a newer agent holds the worker")
+		r.deps.Log.Error().Err(err).Uint64("token", r.token).Msg("a newer agent holds the worker")
 	}
 	if ctx.Err() != nil || gone {
 		return
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -69,7 +69,7 @@
 		r.deps.Log.Info().Uint64("epoch", c.Epoch).Uint64("before", r.epoch).Msg("new scheduler")
 		r.epoch = c.Epoch
 	}
-	if c.Process != r.cfg.Token {
+	if c.Process != r.token {
 		return dispatch.RefusedProcess
 	}
 	if end := c.Echo + c.Grant; c.Echo > 0 && end > r.grantEnd {
@@ -163,7 +163,7 @@
 		}
 		answer, cancel := context.WithTimeout(ctx, answerTime(try))
 		now, err := r.deps.Control.Start(answer, l.id, workerctl.StartOrder{
-			Run: x.id, Payload: x.payload, Lease: lease, Token: r.cfg.Token, Checkpoint: x.checkpoint, Ticket: x.ticket,
+			Run: x.id, Payload: x.payload, Lease: lease, Token: r.token, Checkpoint: x.checkpoint, Ticket: x.ticket,
 		})
 		cancel()
 		done, reason := r.startAnswered(l, x, now, err, uncertain)
@@ -283,7 +283,7 @@
 		if !current {
 			return
 		}
-		_, err := r.deps.Control.Stop(ctx, l.id, x.id, r.cfg.Token)
+		_, err := r.deps.Control.Stop(ctx, l.id, x.id, r.token)
 		var refused *workerctl.RefusedError
 		if err == nil || errors.As(err, &refused) {
 			r.mu.Lock()
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -19,9 +19,6 @@
 
 // Config is what a runner is told when it is made.
 type Config struct {
-	// Token fences every earlier process of this agent. It is taken from the
-	// store, whose versions only go up, never from a clock.
-	Token uint64
 	// MaxLease is the longest lease that the worker grants.
 	MaxLease time.Duration
 }
@@ -43,6 +40,11 @@
 	cfg  Config
 	deps Deps
 
+	// token fences every earlier process of this agent. It is taken from the
+	// store, whose versions only go up, never from a clock. It is set before
+	// the first call to the worker and does not change.
+	token uint64
+
 	mu sync.Mutex
 	// version counts changes; urgent is the version of the last one that a
 	// waiting Watch should be woken for.
@@ -181,6 +183,18 @@
 	return &Runner{cfg: cfg, deps: deps, wake: make(chan struct{}), kick: make(chan struct{}, 1)}
 }
 
+// Registered tells the runner its token, and the worker that the process before
+// this one had found, if any. It is called once, before Run and before the
+// scheduler's first call.
+//
+// Reports are taken before that, too: a worker that begins together with its
+// agent reports at once, and then not for a second. Were that report lost while
+// the agent still registers, nothing would start there for so long.
+func (r *Runner) Registered(token uint64, before workload.Worker) {
+	r.token = token
+	r.suggest(before)
+}
+
 // Run holds the worker until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	go r.paceLoop(ctx)
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -22,7 +22,7 @@
 		refused = ""
 	}
 	if refused != "" {
-		reply := dispatch.WatchReply{Refused: refused, Process: r.cfg.Token}
+		reply := dispatch.WatchReply{Refused: refused, Process: r.token}
 		r.mu.Unlock()
 		return reply
 	}
@@ -81,7 +81,7 @@
 }
 
 func (r *Runner) report(since uint64) dispatch.WatchReply {
-	reply := dispatch.WatchReply{Process: r.cfg.Token, At: r.deps.Now(), Version: r.version, Former: r.former}
+	reply := dispatch.WatchReply{Process: r.token, At: r.deps.Now(), Version: r.version, Former: r.former}
 	if reply.Version == 0 {
 		// Version 0 would ask for everything again and never wait.
 		reply.Version = r.touch(false)
@@ -141,8 +141,8 @@
 	r.kickHold()
 }
 
-// Suggest names a worker that may live, without a report of its own.
-func (r *Runner) Suggest(w workload.Worker) {
+// suggest names a worker that may live, without a report of its own.
+func (r *Runner) suggest(w workload.Worker) {
 	if w.ID == "" {
 		return
 	}
@@ -158,6 +158,9 @@
 func (r *Runner) Left(id workload.WorkerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.candidate != nil && r.candidate.ID == id {
+		r.candidate = nil
+	}
 	if r.life == nil || r.life.worker.ID != id {
 		return
 	}
@@ -185,7 +188,7 @@
 }
 
 func (r *Runner) pace(ctx context.Context, l *life, p paced) {
-	_, err := r.deps.Control.Pace(ctx, l.id, p.run, p.pace, r.cfg.Token)
+	_, err := r.deps.Control.Pace(ctx, l.id, p.run, p.pace, r.token)
 	r.mu.Lock()
 	r.counters.Paces++
 	r.mu.Unlock()
--- a/cmd/machine/agent.go
+++ b/cmd/machine/agent.go
@@ -40,17 +40,17 @@
 	registration := runner.Registration{
 		Store: store.New(p.settings.StoreAddress), Node: p.settings.Node, Address: p.peerAddress(), Log: p.log,
 	}
-	token, before, err := registration.Register(ctx)
-	if err != nil {
-		return err
-	}
-	r := runner.New(runner.Config{Token: token, MaxLease: p.settings.Bounds.MaxLease}, runner.Deps{
+	r := runner.New(runner.Config{MaxLease: p.settings.Bounds.MaxLease}, runner.Deps{
 		Control: worker.NewControl(p.settings.WorkerAddress), Log: p.log, Now: sinceBoot, Found: registration.Record,
 	})
-	r.Suggest(before)
 	if _, err := p.serveHTTP(p.settings.WorkerListen, worker.ReportHandler(reports{r})); err != nil {
 		return err
 	}
+	token, before, err := registration.Register(ctx)
+	if err != nil {
+		return err
+	}
+	r.Registered(token, before)
 	server := rpc.NewServer()
 	if err := server.RegisterName("Agent", runner.NewRPC(ctx, r)); err != nil {
 		return err
--- a/sessions/machines/power_loss_test.go
+++ b/sessions/machines/power_loss_test.go
@@ -68,3 +68,25 @@
 		}
 	})
 }
+
+// A machine gets its power back, and its worker begins together with the
+// agent. The worker reports at once, and again 1.1 s later; the agent still
+// writes its row when the first report comes. The report was lost, and nothing
+// started on the worker until the next.
+func TestReportIsTakenWhileTheAgentRegisters(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 1}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, lastingJob(1, 1))
+		a := w.Agents()[0]
+		a.Kill()
+		a.Start()
+		time.Sleep(time.Millisecond)
+		begun := time.Now()
+		a.NewWorker()
+		for len(a.Worker().Running()) == 0 && time.Since(begun) < 10*second {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(begun); took > reachedWithin {
+			t.Errorf("the worker has work %v after it began", took)
+		}
+	})
+}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -459,17 +459,21 @@
 	registration := runner.Registration{
 		Store: &cutStore{Store: w.Store.Client(a.Node), world: w, node: a.Node}, Node: a.Node, Address: a.Node, Log: log,
 	}
+	r := runner.New(runner.Config{MaxLease: longestLease}, runner.Deps{Control: c, Log: log, Now: w.now, Found: registration.Record})
+	a.mu.Lock()
+	if ctx.Err() == nil {
+		a.runner = r
+	}
+	a.mu.Unlock()
 	token, before, err := registration.Register(ctx)
 	if err != nil {
 		return
 	}
-	r := runner.New(runner.Config{Token: token, MaxLease: longestLease}, runner.Deps{Control: c, Log: log, Now: w.now, Found: registration.Record})
-	r.Suggest(before)
+	r.Registered(token, before)
 	server := rpc.NewServer()
 	must(server.RegisterName("Agent", runner.NewRPC(ctx, r)))
 	a.mu.Lock()
 	if ctx.Err() == nil {
-		a.runner = r
 		w.listen(a.Node, server)
 	}
 	a.mu.Unlock()
