Jobs under way are given up as soon as the store counts as away

Cause: when the store falls silent, an entry refuses new jobs at once from 1.4 s on, but a job handed in just before was held until its client's deadline, 3 s, and then answered with 504 all the same.

Ruled out: refusing them with 503. The write was sent and may take effect yet, so the answer stays 504.

New test: told after 3 s before, after 1.4 s now; the same ID can be handed in again.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -38,6 +38,9 @@
 	// another entry, it counts as away. The feed of the configuration answers
 	// every half second, and within 0.9 s from a slow store.
 	awayAfter = 1400 * time.Millisecond
+	// awayCheck is the time between two looks whether it is while a call to it
+	// is under way.
+	awayCheck = 100 * time.Millisecond
 )
 
 // Counters are an entry's figures.
@@ -160,7 +163,7 @@
 		}
 		uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
 		over := !uncertain && time.Since(begun) > unavailableFor
-		if ctx.Err() != nil || over {
+		if ctx.Err() != nil || over || s.away() {
 			break
 		}
 		wait.For(ctx, writePause)
@@ -174,6 +177,8 @@
 // writeOnce makes one attempt. An error is rowstore.ErrUnavailable if it
 // proves that this attempt did nothing.
 func (s *Service) writeOnce(ctx context.Context, t rowstore.Txn) (outcome, error) {
+	ctx, stop := s.whileThere(ctx)
+	defer stop()
 	stamp, err := s.store.Apply(ctx, t)
 	var conflict *rowstore.ConflictError
 	switch {
@@ -188,6 +193,24 @@
 	return notStored, err
 }
 
+// whileThere returns a context that ends once the store counts as away.
+//
+// Failure guarded against: the store falls silent, and calls that were taken
+// just before keep their clients waiting to their deadlines, while later ones
+// are refused at once. By the time the store counts as away they are given up,
+// too, and their clients can ask again.
+func (s *Service) whileThere(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for wait.For(ctx, awayCheck) {
+			if s.away() {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // note tells the scheduler, without waiting for it.
 func (s *Service) note(args dispatch.NoteArgs) {
 	if term := s.elector.Term(); term != nil {
--- a/sessions/machines/jobs_test.go
+++ b/sessions/machines/jobs_test.go
@@ -1,6 +1,7 @@
 package machines
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"testing"
@@ -103,6 +104,29 @@
 	})
 }
 
+// The store falls silent while a job is handed in. From 1.4 s on it is known to
+// be away, and whoever comes then is told at once; the client of the job under
+// way was kept waiting for its whole deadline, with nothing to gain.
+func TestStoreThatFallsSilentKeepsNobodyWaiting(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 1}, func(t *testing.T, w *World, c *Client) {
+		w.Store.SetFault("", memstore.Silent)
+		ctx, cancel := context.WithTimeout(t.Context(), clientDeadline)
+		defer cancel()
+		begun := time.Now()
+		err := w.Entries()[0].Service().Submit(ctx, queue(), job(1, 1))
+		if !errors.Is(err, workload.ErrUndecided) {
+			t.Errorf("answer %v, and the write may take effect yet", err)
+		}
+		if took := time.Since(begun); took > 1600*time.Millisecond {
+			t.Errorf("told after %v", took)
+		}
+		w.Store.SetFault("", memstore.Healthy)
+		time.Sleep(3 * second)
+		submit(t, c, job(1, 1))
+		await(t, c, JobID(1), workload.Completed, 10*second)
+	})
+}
+
 // The store takes 70 times as long for everything, for seconds, while ten
 // jobs a second are handed in. A part of its rows carries out one transaction
 // at a time, 560 ms each: with few parts the writes queue behind each other,
--- a/sessions/machines/logs_test.go
+++ b/sessions/machines/logs_test.go
@@ -81,7 +81,7 @@
 	return x
 }
 
-// 840 tasks a second start on 240 workers, a worker fails and some runs with
+// 840 tasks a second start on a fleet, a worker fails and some runs with
 // it. An engineer asks why one of these jobs was late, and all there is are the
 // logs, 500 lines a second of each process: the scheduler wrote two lines a
 // task and left out most of them. Every job is told from the first line to the
