A scheduler's silence counts, and weak machines leave its lease to strong ones

Change: an entry that sees the lease stand still takes the holder's silence of a second as evidence that it is gone, and a longer one while the store is slow; a holder that answers keeps it. A machine much weaker than the last holder's waits 0.6 s beside a free lease, in which a strong one looks.

Ruled out: a shorter wait for the lease alone; from a store that takes 70 times as long the lease stands still for a second with its holder in good health (TestSlowStoreDoesNotCostTheLease).

--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -23,8 +23,22 @@
 	// goneFor replaces stillFor where nothing listens at the holder's
 	// address any more.
 	goneFor = 600 * time.Millisecond
+	// silentFor replaces it where the holder has answered no question for so
+	// long: it is frozen, cut off, or its machine is gone. A holder that only
+	// waits for a slow store answers.
+	silentFor = time.Second
+	// looksPerTxn is how many times as long as a look a transaction may take.
+	looksPerTxn = 4
 	// pingTimeout bounds the question to the holder.
 	pingTimeout = 350 * time.Millisecond
+	leastPing   = 100 * time.Millisecond
+	// weakerWait is how long an entry leaves a free lease to the stronger
+	// machines that the last holder's shows to be there: they look within
+	// pollEvery.
+	weakerWait = 600 * time.Millisecond
+	// freePoll is the time between two looks at a lease that may soon be
+	// taken.
+	freePoll = 100 * time.Millisecond
 	// takeJitter spreads the entries that find the lease free.
 	takeJitter = 60 * time.Millisecond
 	// lookGap is the longest time between two successful looks that still
@@ -62,19 +76,47 @@
 	begun     time.Duration
 	asked     time.Duration
 	heirUntil time.Duration
-	// refused is when the holder's address first refused a connection.
+	// refused is when the holder's address first refused a connection, silent
+	// when it first left a question without an answer.
 	refused time.Duration
+	silent  time.Duration
+	// free is since when the lease may be taken.
+	free time.Duration
+	// took is how long the latest look took.
+	took time.Duration
+}
+
+// forget drops what was seen of a holder.
+func (w *watch) forget() { w.refused, w.silent, w.free = 0, 0, 0 }
+
+// patience is how long a question to the holder at now waits for its answer:
+// not much beyond the moment in which its silence has lasted for long enough.
+func (w *watch) patience(now time.Duration) time.Duration {
+	if w.silent == 0 {
+		return pingTimeout
+	}
+	return min(pingTimeout, max(leastPing, w.silent+silentFor-now))
+}
+
+// pause is the time to the next look.
+func (w *watch) pause() time.Duration {
+	if w.silent > 0 || w.free > 0 {
+		return freePoll
+	}
+	return pollEvery
 }
 
 // Run watches the lease and serves terms until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
 	var w watch
 	for ctx.Err() == nil {
+		asked := e.deps.Now()
 		row, err := rowstore.Get(ctx, e.deps.Store, leaseKey)
 		if err != nil {
 			wait.For(ctx, pollEvery/2)
 			continue
 		}
+		w.took = e.deps.Now() - asked
 		lease, ok := e.saw(&w, row)
 		if ok && e.due(ctx, &w, lease) {
 			if term := e.take(ctx, row); term != nil {
@@ -90,7 +132,7 @@
 			wait.For(ctx, heirPoll)
 			continue
 		}
-		wait.For(ctx, pollEvery)
+		wait.For(ctx, w.pause())
 	}
 }
 
@@ -111,7 +153,7 @@
 	now := e.deps.Now()
 	if row.Version != w.version || w.since == 0 || now-w.last > lookGap {
 		w.version, w.since = row.Version, now
-		w.refused = 0
+		w.forget()
 	}
 	if w.begun == 0 || now-w.last > lookGap {
 		w.begun = now
@@ -146,9 +188,28 @@
 	e.leader, e.version = lease, version
 }
 
-// due reports whether the lease may be taken: it is free, or its holder has
-// not renewed it for long enough.
+// due reports whether this entry is to take the lease now.
+//
+// Failure guarded against: a weak machine takes the lease because it looked
+// first. It reads the jobs of hundreds of workers for a second, falls behind,
+// and some seconds later hands the lease to a stronger one with another pause.
+// So it leaves the stronger ones time to look; if none takes the lease, it does.
 func (e *Elector) due(ctx context.Context, w *watch, lease leaseRow) bool {
+	if !e.free(ctx, w, lease) {
+		w.free = 0
+		return false
+	}
+	now := e.deps.Now()
+	if w.free == 0 {
+		w.free = now
+	}
+	weaker := e.cfg.Power > 0 && lease.Power >= strongerBy*e.cfg.Power
+	return !weaker || now-w.free >= weakerWait
+}
+
+// free reports whether the lease may be taken: it is released, or its holder
+// is gone or has not renewed it for long enough.
+func (e *Elector) free(ctx context.Context, w *watch, lease leaseRow) bool {
 	still := e.deps.Now() - w.since
 	if lease.Released && e.keptForHeir(lease, still) {
 		return false
@@ -162,24 +223,38 @@
 	if still >= stillFor {
 		return true
 	}
+	return e.holderGone(ctx, w, lease, still)
+}
+
+// holderGone asks the holder whether it is there.
+func (e *Elector) holderGone(ctx context.Context, w *watch, lease leaseRow, still time.Duration) bool {
 	e.mu.Lock()
 	link := e.link
 	e.mu.Unlock()
+	asked := e.deps.Now()
 	var reply dispatch.StateReply
-	err := link.Call(ctx, "Scheduler.State", dispatch.StateArgs{}, &reply, pingTimeout)
+	err := link.Call(ctx, "Scheduler.State", dispatch.StateArgs{}, &reply, w.patience(asked))
 	if err == nil && reply.Process != lease.Process {
 		// The holder was killed, and its machine runs another process now.
 		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
-	if err == nil || !refusedConnection(err) {
-		w.refused = 0
+	if err == nil {
+		w.refused, w.silent = 0, 0
 		return false
 	}
-	if w.refused == 0 {
-		w.refused = e.deps.Now()
+	if w.silent == 0 {
+		w.silent = asked
+	}
+	now := e.deps.Now()
+	if refusedConnection(err) {
+		if w.refused == 0 {
+			w.refused = now
+		}
+		return now-w.refused >= goneFor && still >= goneFor
 	}
-	return e.deps.Now()-w.refused >= goneFor && still >= goneFor
+	w.refused = 0
+	return now-w.silent >= silentFor && still >= silentFor+looksPerTxn*w.took
 }
 
 // take writes the lease under the condition of the version that was seen.
--- a/sessions/machines/power_test.go
+++ b/sessions/machines/power_test.go
@@ -76,3 +76,97 @@
 		}
 	})
 }
+
+// powers are those of a fleet: a few strong machines, many weak ones.
+func powers(strong, weak int) []float64 {
+	var all []float64
+	for range weak {
+		all = append(all, 0.2)
+	}
+	for range strong {
+		all = append(all, 0.8)
+	}
+	return all
+}
+
+// The strong machine that schedules is gone for good, without a word. Jobs
+// waited for 2.4 s until the lease had stood still for long enough, then for a
+// weak machine that happened to look first, and again when that one handed the
+// lease to a strong machine. With the holder's silence as evidence another
+// strong machine has it within 1.5 s.
+func TestSilentSchedulerIsOvertakenByAStrongMachine(t *testing.T) {
+	opt := Options{Entries: 12, Machines: 4, Power: powers(3, 9)}
+	play(t, opt, func(t *testing.T, w *World, c *Client) {
+		for l := w.Leader(); l == nil || w.power(l) < 0.5; l = w.Leader() {
+			time.Sleep(second / 10)
+		}
+		for n := range 20 {
+			submit(t, c, job(n, 3))
+		}
+		gone := w.Leader()
+		w.Cut(gone.Node, true)
+		begun := time.Now()
+		for l := gone; l == gone || l == nil; l = w.leaderBut(gone) {
+			time.Sleep(time.Millisecond)
+		}
+		took := time.Since(begun)
+		if next := w.leaderBut(gone); w.power(next) < 0.5 || took > 1500*time.Millisecond {
+			t.Errorf("%s with %.1f of a core schedules after %v", next.Node, w.power(next), took)
+		}
+		w.Cut(gone.Node, false)
+		for n := range 20 {
+			await(t, c, JobID(n), workload.Completed, 15*second)
+		}
+	})
+}
+
+// The store answers 70 times slower than usual, so the lease stands still for
+// a second at a time. Its holder answers, and keeps it: a takeover would only
+// cost another pause.
+func TestSlowStoreDoesNotCostTheLease(t *testing.T) {
+	play(t, Options{Entries: 6, Machines: 4, Power: powers(2, 4)}, func(t *testing.T, w *World, c *Client) {
+		for l := w.Leader(); l == nil || w.power(l) < 0.5; l = w.Leader() {
+			time.Sleep(second / 10)
+		}
+		first := w.Leader()
+		w.Store.SetSlow(70)
+		for n := range 8 {
+			submit(t, c, job(n, 2))
+			time.Sleep(second)
+			if w.Leader() != first {
+				t.Fatal("the lease has moved")
+			}
+		}
+		w.Store.SetSlow(1)
+	})
+}
+
+// All machines lose their power at once, again and again, and come back
+// together. Whichever looked at the lease first took it, mostly a weak machine,
+// which took a second to read the jobs of a fleet and handed the lease over two
+// seconds later. The weak ones leave it to the strong ones.
+func TestStrongMachineSchedulesAfterAPowerLoss(t *testing.T) {
+	opt := Options{Entries: 24, Machines: 4, Power: powers(2, 22)}
+	play(t, opt, func(t *testing.T, w *World, c *Client) {
+		for l := w.Leader(); l == nil || w.power(l) < 0.5; l = w.Leader() {
+			time.Sleep(second / 10)
+		}
+		for range 4 {
+			for _, e := range w.Entries() {
+				e.Kill()
+			}
+			time.Sleep(second / 2)
+			for _, e := range w.Entries() {
+				e.Start()
+			}
+			begun := time.Now()
+			for w.Leader() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			if l, took := w.Leader(), time.Since(begun); w.power(l) < 0.5 || took > second {
+				t.Errorf("%s with %.1f of a core schedules after %v", l.Node, w.power(l), took)
+			}
+			time.Sleep(second)
+		}
+	})
+}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -145,6 +145,17 @@
 	return nil
 }
 
+// leaderBut is Leader among the entries other than one that is cut off, which
+// does not know yet that its term is over.
+func (w *World) leaderBut(gone *Entry) *Entry {
+	for _, e := range w.entries {
+		if p := e.current(); e != gone && p != nil && p.elector.Term() != nil {
+			return e
+		}
+	}
+	return nil
+}
+
 // power is the processor of an entry's machine.
 func (w *World) power(e *Entry) float64 {
 	for i, x := range w.entries {
