--- a/cmd/persimmonrock/dev.go
+++ b/cmd/persimmonrock/dev.go
@@ -30,6 +30,8 @@
 	devReadyTimeout = 15 * time.Second
 	// devReadyPause is the time between two looks.
 	devReadyPause = 20 * time.Millisecond
+	// devCallTimeout bounds one sample call, which takes milliseconds.
+	devCallTimeout = 500 * time.Millisecond
 )
 
 // runDev runs a whole deployment in this process until Ctrl-C.
@@ -56,7 +58,8 @@
 		fmt.Fprintln(stderr, err)
 		return exitError
 	}
-	if err := awaitAnswered(ctx, s, key); err != nil && ctx.Err() == nil {
+	call := func(ctx context.Context) (int, error) { return callSample(ctx, s, key) }
+	if err := awaitAnswered(ctx, s.Serving, call); err != nil && ctx.Err() == nil {
 		fmt.Fprintln(stderr, err)
 		return exitError
 	}
@@ -109,14 +112,18 @@
 // since calls that an earlier agent admitted may still run; a user who copies
 // the printed line before that is told not-ready, and takes the product to be
 // broken. Instances become ready one after the other, so one answer does not
-// tell that the next call, which may go to another, is answered, too.
-func awaitAnswered(ctx context.Context, s *node.Sample, key string) error {
+// tell that the next call, which may go to another, is answered, too. A call
+// that gets no answer is given up and made again, so that one alone does not
+// keep the user waiting.
+func awaitAnswered(ctx context.Context, serving func() bool, call func(context.Context) (int, error)) error {
 	bounded, cancel := context.WithTimeout(ctx, devReadyTimeout)
 	defer cancel()
 	var last error
 	for {
-		if s.Serving() {
-			status, err := callSample(bounded, s, key)
+		if serving() {
+			one, stop := context.WithTimeout(bounded, devCallTimeout)
+			status, err := call(one)
+			stop()
 			if err == nil && status == http.StatusOK {
 				return nil
 			}
--- a/cmd/persimmonrock/dev_test.go
+++ b/cmd/persimmonrock/dev_test.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// The first sample call gets no answer, for whatever reason. The user saw
+// nothing printed until the call's deadline, though the next would have been
+// answered at once.
+func TestDevDoesNotWaitForOneCall(t *testing.T) {
+	calls := 0
+	call := func(ctx context.Context) (int, error) {
+		calls++
+		if calls == 1 {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
+		return http.StatusOK, nil
+	}
+	begun := time.Now()
+	if err := awaitAnswered(t.Context(), func() bool { return true }, call); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); took > devWithin {
+		t.Errorf("%d calls took %v", calls, took)
+	}
+}
+
 // copyLine makes the printed call as a user would.
 func copyLine(t *testing.T, authorization, body, url string) {
 	t.Helper()
