--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -250,8 +250,7 @@
 	leaseMargin = 200 * time.Millisecond
 	// maxLease is the longest lease that is asked for. A short one frees the
 	// tasks of a worker that is gone sooner, a long one outlasts an agent that
-	// is killed or frozen. On days with both, 3 s served clients a little
-	// better than 5 s and 9 s.
+	// is killed or frozen.
 	maxLease = 3 * time.Second
 	// silentAfter is how long a worker may fail to answer before its lease
 	// is no longer renewed. A listing is given one second.
--- a/cmd/node/cluster.go
+++ b/cmd/node/cluster.go
@@ -26,8 +26,7 @@
 	sampleInstances = 3
 	sampleSlots     = 8
 	loopback        = "127.0.0.1:0"
-	// sampleAnnounce is short, so that the sample serves soon after its start:
-	// in 0.25 s, where an agent's usual second makes it two.
+	// sampleAnnounce is short, so that the sample serves soon after its start.
 	sampleAnnounce = 100 * time.Millisecond
 )
 
--- a/cmd/persimmonrock/dev.go
+++ b/cmd/persimmonrock/dev.go
@@ -25,8 +25,7 @@
 const devStopTimeout = 20 * time.Second
 
 const (
-	// devReadyTimeout bounds the wait for the sample services, which takes 0.25 s
-	// on an idle machine.
+	// devReadyTimeout bounds the wait for the sample services.
 	devReadyTimeout = 15 * time.Second
 	// devReadyPause is the time between two looks.
 	devReadyPause = 20 * time.Millisecond
--- a/decide/order/duration.go
+++ b/decide/order/duration.go
@@ -5,13 +5,10 @@
 	"time"
 )
 
-// A client's estimate may say little of how long a task takes. On the load
-// that this answers the logarithm of the estimates scatters by 1.05 and that
-// of the true times by 0.48, with a correlation of 0.33, and estimates are too
-// low by a third in the middle (332 steps of filling work, 1,885 others, read
-// from the logs of four days): by the estimates alone the order of jobs is
-// mostly noise. How far a queue's estimates can be trusted is learnt from its
-// tasks that end.
+// A client's estimate may say little of how long a task takes: where estimates
+// scatter more than the times themselves, the order of jobs by the estimates
+// alone is mostly noise. How far a queue's estimates can be trusted is learnt
+// from its tasks that end.
 
 const (
 	// firstSpread and slopeSpread say how far from the client's estimate times
--- a/decide/pressure/belief.go
+++ b/decide/pressure/belief.go
@@ -2,17 +2,13 @@
 
 import "math"
 
-// A pair either hardly presses or presses with a weight of about one or more;
-// in recorded days two thirds of the pairs lie below 0.3 and hardly any between
-// 0.3 and 0.7. Knowing this, one or two samples tell which of the two holds,
-// where a mean over all weights needs several. Of the 340 pairs of nine recorded
-// days (10,642 samples played again through both) a mean told 203 rightly and 24
-// wrongly after 15 s, likelihoods 239 and 24; after 20 s 279 and 27, and 300 and
-// 15.
+// A pair either hardly presses or presses with a weight of about one or more:
+// two programs are short of the same part of the processor or they are not.
+// Knowing this, one or two samples tell which of the two holds, where a mean
+// over all weights needs several.
 
 const (
 	// sampleNoise is how much the loads of two samples differ for no cause.
-	// With 0.03 the same samples tell as many pairs rightly.
 	sampleNoise = 0.05
 	// knownFrom is how sure it has to be whether a pair presses.
 	knownFrom = 0.85
--- a/decide/pressure/kinds.go
+++ b/decide/pressure/kinds.go
@@ -6,9 +6,7 @@
 )
 
 // Serving images fall into few kinds by what they are short of, and a filling
-// image presses on those of one kind or on none: in recorded days two serving
-// images are pressed on by the same filling images or by none that are the
-// same. So what is known of a filling image beside one serving image tells
+// image presses on those of one kind or on none. So what is known of a filling image beside one serving image tells
 // what it does beside others, by how likely the two are of one kind.
 
 const (
@@ -31,9 +29,9 @@
 // (by the same filling images) to 1 (by others altogether). known is false
 // while too little is known to tell.
 //
-// Regrouping asks for the same few differences thousands of times at a look.
-// Worked out each time, they took 0.15 of a core more of a scheduler of 73
-// workers, and short jobs waited for it (BenchmarkRegroup: 163 ms a look, now 14).
+// Regrouping asks for the same few differences thousands of times at a look;
+// worked out each time, they would take so much of the scheduler's processor
+// that short jobs wait for it. They are kept until the next solution.
 func (m *Model) Difference(a, b string) (value float64, known bool) {
 	if a == b {
 		return 0, true
@@ -77,11 +75,9 @@
 }
 
 const (
-	// pressShare is the part of pairs that press, about a third in recorded
-	// days. sameShare is the part of pairs of serving images that are of one
-	// kind: it lies between the third of three kinds and the half of two. With
-	// 0.3 instead of 0.45 as many pairs are told rightly, and worlds of one to
-	// five kinds are learnt with these figures.
+	// pressShare is the part of pairs that press. sameShare is the part of
+	// pairs of serving images that are of one kind: it lies between the third
+	// of three kinds and the half of two.
 	pressShare = 0.3
 	sameShare  = 0.45
 	// bothShare is the part of filling images that press on two serving images
--- a/decide/pressure/model.go
+++ b/decide/pressure/model.go
@@ -4,8 +4,7 @@
 // A serving task's tail latency is taken as base/(1-load), as of a queue. Its
 // load is its own, plus, for each image of filling tasks beside it, the share
 // of the worker's processor that they use times a weight of the pair of
-// images. Most pairs have a weight of nothing, a few of several units: in
-// recorded days about a third of them, between 1 and 4.
+// images. Most pairs have a weight of nothing, a few of several units.
 //
 // The package interference of the urgent path learns inflation by running
 // task and band of load; here the work used is measured, may be paced, and the
@@ -22,10 +21,8 @@
 
 // Tuning of the learner.
 const (
-	// halfLife is the time after which a sample counts half. Pairs keep
-	// their weights for tens of seconds: fitted to the halves of recorded
-	// days by themselves, known weights differ by less than 0.3. With 30 s and
-	// 200 s as many pairs are told rightly.
+	// halfLife is the time after which a sample counts half: pairs keep their
+	// weights for tens of seconds.
 	halfLife = 60 * time.Second
 	// sweeps of the coordinate descent at each solution; it begins at the
 	// last one.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -23,8 +23,7 @@
 	callTimeout = 900 * time.Millisecond
 	// probeEvery is the time between two tries of the direct way while it is
 	// lost. They are made beside the calls: a machine that is cut off from
-	// the store learns so only by a time-out, and calls that tried the direct
-	// way now and then waited 0.8 s for it.
+	// the store learns so only by a time-out, for which calls would wait.
 	probeEvery = 300 * time.Millisecond
 	// avoidFor is how long an entry that could not help is left alone; it
 	// doubles with each failure in a row, up to maxAvoid.
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -239,10 +239,9 @@
 // sampleTimes are the times between two samples of one of n agents: usually,
 // and beside pairs of images of which it is not known whether they press.
 //
-// Beside 73 workers there are nearly always such pairs. Sampled twice as often
-// by all of them, the scheduler's machine was short of processor time, and
-// short jobs waited for it: on one seed of five days 0.70 of their worth was
-// earned before and 0.52 then. With so many workers enough samples come anyway.
+// Beside many workers there are nearly always such pairs. Sampled twice as often
+// by all of them, the scheduler's machine is short of processor time, and short
+// jobs wait for it; with so many workers enough samples come anyway.
 func sampleTimes(n int) (usual, unknown time.Duration) {
 	usual = max(sampleEvery, time.Duration(n)*time.Second/samplesPerSecond)
 	unknown = max(sampleEvery/2, time.Duration(n)*time.Second/unknownPerSecond)
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -27,8 +27,7 @@
 
 // jobParts spreads submissions. A part carries out one transaction at a time,
 // and takes 8 ms for each; from a store that is 70 times slower 32 parts take 57
-// submissions a second, and at the 7 that users' busiest days bring few wait
-// for another.
+// submissions a second, so that few wait for another.
 const jobParts = 32
 
 // cancelSuffix marks the row of a job's cancellation.
--- a/entry/scheduler/trials.go
+++ b/entry/scheduler/trials.go
@@ -6,20 +6,15 @@
 	"persimmonrock.example/structs/workload"
 )
 
-// The first job of a new filling image has ten tasks or so. Placed all at once
-// they ran beside the serving tasks of many workers, and took all of them over
-// their targets before anybody knew that the image presses there: in the log
-// of a calm day one such job did so to five serving tasks on four workers, for
-// 1.3 to 1.7 s each. A pair of images of which it is not known whether it presses
-// therefore runs on one worker first, which tells after two samples.
-//
-// Together with sampling each 250 ms beside such pairs, and telling agents
-// within 300 ms what was learnt, this gained 0.019 ± 0.007 of worth in 60 paired
-// plays of five days with trouble as a trial, and 0.005 ± 0.008 in 60 of the code
-// as it stands; what serving tasks earn rose by 0.015 and 0.011 ± 0.004.
+// Failure guarded against: the first job of a new filling image has tens of
+// tasks. Placed all at once they run beside the serving tasks of many workers,
+// and take all of them over their targets for a second or two before anybody
+// knows that the image presses there. A pair of images of which it is not known
+// whether it presses therefore runs on one worker first, which tells after two
+// samples.
 const (
-	// trialFor is how long other workers wait for what a trial tells. Samples
-	// of half a second tell after 0.7 to 1 s.
+	// trialFor is how long other workers wait for what a trial tells: two
+	// samples of half a second.
 	trialFor = time.Second
 	// trialPause is how long a pair must not have run together for its next
 	// run to be a new trial.
--- a/entry/scheduler/yield.go
+++ b/entry/scheduler/yield.go
@@ -8,10 +8,8 @@
 )
 
 // Entries may run on machines of several sizes. Where one with a fifth of a
-// core schedules for 66 workers, jobs wait for it: on such a day 0.59 and 0.74
-// of the worth of short jobs were served, and 0.81 to 0.89 where the scheduler
-// had 0.8 of a core. An entry on a stronger machine therefore asks for the
-// lease.
+// core schedules for tens of workers, jobs wait for it. An entry on a stronger
+// machine therefore asks for the lease.
 const (
 	// strongerBy is how many times stronger the machine has to be: a
 	// handover stops all starts for some tenths of a second.
