Strong schedulers sample and tell more often

Cause: the bounds on samples and on tellings of what was learnt are those of a machine with a fifth of a core, so that 240 agents hear each 3.2 s. Beside filling work whose weights agents do not know yet, serving tasks stay over their targets for that long.

Change: the bounds grow with the processor that the settings tell; where it is not known, and with few agents, nothing changes.

--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -10,11 +10,12 @@
 
 const (
 	// sampleEvery is the time between two samples of an agent; with many
-	// agents it grows, so that the scheduler takes at most samplesPerSecond.
+	// agents it grows, so that the scheduler takes at most samplesPerSecond
+	// on a machine of weakPower.
 	sampleEvery      = 500 * time.Millisecond
 	samplesPerSecond = 200
 	// unknownPerSecond bounds the samples that are taken sooner beside pairs
-	// that are not known: with 12 agents each takes four a second.
+	// that are not known.
 	unknownPerSecond = 50
 	// sameTime is how far apart two samples may be to show the same load of
 	// a job, which changes within seconds.
@@ -236,14 +237,27 @@
 	return worst, presses
 }
 
+// weakPower is the processor, in cores, for which the bounds on samples and
+// tellings are; a stronger machine bears more of them.
+const weakPower = 0.2
+
+// strength is how many times weakPower a machine has, one at least.
+func strength(power float64) float64 { return max(1, power/weakPower) }
+
 // sampleTimes are the times between two samples of one of n agents: usually,
 // and beside pairs of images of which it is not known whether they press.
 //
 // Beside many workers there are nearly always such pairs. Sampled twice as often
-// by all of them, the scheduler's machine is short of processor time, and short
-// jobs wait for it; with so many workers enough samples come anyway.
-func sampleTimes(n int) (usual, unknown time.Duration) {
-	usual = max(sampleEvery, time.Duration(n)*time.Second/samplesPerSecond)
-	unknown = max(sampleEvery/2, time.Duration(n)*time.Second/unknownPerSecond)
+// by all of them, a weak machine is short of processor time, and short jobs wait
+// for its scheduler; with so many workers enough samples come anyway.
+func sampleTimes(n int, power float64) (usual, unknown time.Duration) {
+	usual = max(sampleEvery, spread(n, samplesPerSecond*strength(power)))
+	unknown = max(sampleEvery/2, spread(n, unknownPerSecond*strength(power)))
 	return usual, min(usual, unknown)
 }
+
+// spread is the time in which each of n agents has its turn at so many turns a
+// second.
+func spread(n int, perSecond float64) time.Duration {
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
+}
--- a/entry/scheduler/tell.go
+++ b/entry/scheduler/tell.go
@@ -12,8 +12,7 @@
 const (
 	// tellEvery is the least time between two tellings of what was learnt to
 	// one agent; with many agents it grows, so that there are at most
-	// tellsPerSecond. A telling is a kilobyte or two, and a scheduler on a fifth
-	// of a core is short of time for more.
+	// tellsPerSecond on a machine of weakPower. A telling is a kilobyte or two.
 	tellEvery      = 300 * time.Millisecond
 	tellsPerSecond = 75
 	// tellAgain is the time after which an agent is told what it was told
@@ -36,9 +35,9 @@
 // the agent does not know it.
 func (l *agentLink) tellPressure(args *dispatch.WatchArgs) {
 	t := l.term
-	args.SampleEvery, args.SampleUnknown = sampleTimes(len(t.agents))
+	args.SampleEvery, args.SampleUnknown = sampleTimes(len(t.agents), t.cfg.Power)
 	now, version := t.deps.Now(), t.learner.model.Version()
-	if version == l.told.version || now-l.told.at < tellTime(len(t.agents)) {
+	if version == l.told.version || now-l.told.at < tellTime(len(t.agents), t.cfg.Power) {
 		return
 	}
 	pairs := map[pressure.Pair]pressure.Weight{}
@@ -62,8 +61,8 @@
 }
 
 // tellTime is the time between two tellings to one of n agents.
-func tellTime(n int) time.Duration {
-	return max(tellEvery, time.Duration(n)*time.Second/tellsPerSecond)
+func tellTime(n int, power float64) time.Duration {
+	return max(tellEvery, spread(n, tellsPerSecond*strength(power)))
 }
 
 // tells reports whether what was told says about the same as pairs.
