A new scheduler tells only of jobs that nobody told of before

Change: jobs with progress on record are not told of again, and the limit is 1,000 lines a second, so that it bounds floods and not ordinary seconds.

--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -37,7 +37,7 @@
 	// dropped and counted.
 	logLines = 2000
 	// logsPerSecond bounds the lines of a process.
-	logsPerSecond = 500
+	logsPerSecond = 1000
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
 	// memoryShare is the part of the memory limit that the runtime's own
--- a/entry/scheduler/decisions.go
+++ b/entry/scheduler/decisions.go
@@ -17,6 +17,12 @@
 // completion; the agents tell of each start and end. Ends that change a plan
 // have a line each.
 
+// logKnown tells of a job that no scheduler has told of before.
+func (t *Term) logKnown(j *job) {
+	t.deps.Log.Info().Str("job", string(j.spec.ID)).Str("queue", j.spec.Queue.Name).Int("steps", len(j.spec.Steps)).
+		Int64("age_ms", t.storeNow()-j.spec.Accepted).Dur("objective", j.objective()).Msg("job known")
+}
+
 // placements lists the runs of one step that a plan has placed.
 type placements struct {
 	runs []string
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -45,10 +45,19 @@
 		t.recall(row)
 	}
 	now := time.Now()
+	before := map[workload.JobID]bool{}
 	for _, row := range progress {
 		t.takeProgress(row, now)
+		before[workload.JobID(row.Key.Key)] = true
 	}
 	t.loaded = true
+	// A fleet's hundreds of jobs under way were told of by the scheduler that
+	// began them.
+	for _, j := range t.active {
+		if !before[j.spec.ID] {
+			t.logKnown(j)
+		}
+	}
 	t.deps.Log.Warn().Uint64("epoch", t.epoch).Int("jobs", len(t.jobs)).Int("active", len(t.active)).Int("workers", len(t.workers)).
 		Dur("took", t.deps.Now()-t.began).Msg("term begins")
 	return stamp, nil
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -220,8 +220,9 @@
 	t.resort = true
 	j.begin(time.Now())
 	t.deps.Counters.Jobs.Add(1)
-	t.deps.Log.Info().Str("job", string(spec.ID)).Str("queue", spec.Queue.Name).Int("steps", len(spec.Steps)).
-		Int64("age_ms", t.storeNow()-spec.Accepted).Dur("objective", j.objective()).Msg("job known")
+	if t.loaded {
+		t.logKnown(j)
+	}
 	if t.early[spec.ID] {
 		delete(t.early, spec.ID)
 		t.cancelJob(spec.ID)
--- a/sessions/machines/logs_test.go
+++ b/sessions/machines/logs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -145,3 +146,32 @@
 		}
 	})
 }
+
+// A scheduler is killed, and the next one reads the jobs of a fleet. It wrote a
+// line for each that is under way, which crowded out the lines of the first
+// second of its term. Those were told of before; only a job that came while
+// nobody scheduled is told of now.
+func TestNewSchedulerTellsOnlyOfNewJobs(t *testing.T) {
+	log := &sharedBuffer{}
+	play(t, Options{Entries: 3, Machines: 4, Log: log}, func(t *testing.T, w *World, c *Client) {
+		submit(t, c, lastingJob(1, 4))
+		time.Sleep(second)
+		w.Leader().Kill()
+		submit(t, c, job(2, 4))
+		await(t, c, JobID(2), workload.Completed, 15*second)
+		log.mu.Lock()
+		text := log.buf.String()
+		log.mu.Unlock()
+		for n := 1; n <= 2; n++ {
+			known := 0
+			for line := range strings.Lines(text) {
+				if strings.Contains(line, `"job known"`) && strings.Contains(line, string(JobID(n))) {
+					known++
+				}
+			}
+			if known != 1 {
+				t.Errorf("job %d is told of %d times", n, known)
+			}
+		}
+	})
+}
