A silent way to the store is left as soon as one call misses its answer

Each entry has a feed of the configuration under way, which answers each half second.

Change: a feed gives up soon after its wait, by the times of earlier reads (infra/rtt, the estimator of the agents' time-outs), and asks the store by both ways: if another entry is answered and this machine is not, the direct way counts as lost, and every call under way goes the other way, too, beside the first attempt. Transactions carry conditions, so that one of the two takes effect; a scheduler that takes its lease knows its own write in the conflict.

Tried and not kept: to count a late feed as loss at once.

--- a/agent/runner/answers.go
+++ b/agent/runner/answers.go
@@ -1,6 +1,10 @@
 package runner
 
-import "time"
+import (
+	"time"
+
+	"persimmonrock.example/infra/rtt"
+)
 
 const (
 	// firstAnswer is the most that the first tries of a call wait for an
@@ -13,13 +17,6 @@
 	firstTries  = 3
 	// mostDoubled bounds the doublings; more lead beyond laterAnswer.
 	mostDoubled = 8
-	// meanShare and spreadShare are how much a new answer counts in the mean
-	// and in the spread, and spreads the number of spreads beyond the mean
-	// that an answer is waited for: those of TCP's retransmission timer (RFC
-	// 6298).
-	meanShare   = 1.0 / 8
-	spreadShare = 1.0 / 4
-	spreads     = 4
 )
 
 // answerTimes tells how long the worker's answers take. The zero value waits
@@ -28,28 +25,11 @@
 // A healthy worker answers within a few milliseconds, one on a slow machine
 // later. Where answers are lost, a time-out that fits the worker finds that out
 // sooner: ends that were told in a lost answer come with the next.
-type answerTimes struct {
-	known        bool
-	mean, spread time.Duration
-}
-
-// observe takes the time of an answer to a call that did not wait by itself.
-func (a *answerTimes) observe(took time.Duration) {
-	if !a.known {
-		a.known, a.mean, a.spread = true, took, took/2
-		return
-	}
-	off := took - a.mean
-	a.spread += time.Duration(spreadShare * float64(max(off, -off)-a.spread))
-	a.mean += time.Duration(meanShare * float64(off))
-}
+type answerTimes struct{ rtt.Estimator }
 
 // timeout is how long the given try of a call waits for its answer.
 func (a *answerTimes) timeout(try int) time.Duration {
-	first := firstAnswer
-	if a.known {
-		first = min(firstAnswer, max(leastAnswer, a.mean+spreads*a.spread))
-	}
+	first := a.Timeout(leastAnswer, firstAnswer)
 	doubled := min(max(0, try-firstTries), mostDoubled)
 	return min(laterAnswer, first<<doubled)
 }
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -187,7 +187,7 @@
 	}
 	r.mu.Lock()
 	if order.Wait == 0 {
-		l.answers.observe(r.deps.Now() - sent)
+		l.answers.Observe(r.deps.Now() - sent)
 	}
 	if r.life == l {
 		r.answered(l)
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -178,7 +178,7 @@
 func (r *Runner) observeAnswer(l *life, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l.answers.observe(took)
+	l.answers.Observe(took)
 }
 
 // startAnswered takes the answer to a start. done says that nothing is left
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/rtt"
 	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -21,6 +22,11 @@
 const (
 	// callTimeout bounds a call through another entry beside its own wait.
 	callTimeout = 900 * time.Millisecond
+	// leastPatience and mostPatience bound how long a feed's answer is waited
+	// for beyond its wait, by the times of earlier reads. The slowest store that
+	// the users describe takes 0.3 s for one.
+	leastPatience = 100 * time.Millisecond
+	mostPatience  = 800 * time.Millisecond
 	// probeEvery is the time between two tries of the direct way while it is
 	// lost. They are made beside the calls: a machine that is cut off from
 	// the store learns so only by a time-out, for which calls would wait.
@@ -59,8 +65,11 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// lost says that the direct way has failed, and is tried beside the calls.
-	lost bool
+	// lost is closed when the direct way has failed; it is nil until that
+	// works again, which is tried beside the calls.
+	lost chan struct{}
+	// reads follows the times of reads by the direct way.
+	reads rtt.Estimator
 	// last is the entry that helped last.
 	last *peer
 
@@ -83,7 +92,7 @@
 // New returns a store that uses direct first. address is this entry's own.
 // link makes the link to another entry.
 func New(direct rowstore.Store, address string, link func(address string) *dispatch.Link, log zerolog.Logger) *Store {
-	return &Store{direct: direct, own: address, log: log, link: link, peers: map[string]*peer{}, wake: make(chan struct{}, 1)}
+	return &Store{direct: direct, own: address, log: log, link: link, peers: map[string]*peer{}, lost: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Relayed counts the calls that other entries made for this one.
@@ -152,64 +161,145 @@
 	}
 }
 
+// answer is what a call of the store returned.
+type answer struct {
+	rows []rowstore.Row
+	more bool
+	at   rowstore.Stamp
+	err  error
+}
+
+// relayed is the answer to a call through another entry.
+func relayed(reply *dispatch.RowsReply, err error) answer {
+	if err != nil {
+		return answer{err: sent(err)}
+	}
+	return answer{rows: reply.Rows, more: reply.More, at: reply.At, err: reply.Err()}
+}
+
 // Apply implements rowstore.Store.
 func (s *Store) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
-	var at rowstore.Stamp
-	err := s.either(ctx, func() error {
-		var err error
-		at, err = s.direct.Apply(ctx, t)
-		return err
-	}, func(l *dispatch.Link) error {
+	a := s.either(ctx, func() (a answer) {
+		a.at, a.err = s.direct.Apply(ctx, t)
+		return a
+	}, func(l *dispatch.Link) answer {
 		var reply dispatch.RowsReply
-		err := l.Call(ctx, "Relay.Apply", dispatch.ApplyArgs{Txn: t}, &reply, callTimeout)
-		if err != nil {
-			return sent(err)
-		}
-		at = reply.At
-		return reply.Err()
+		return relayed(&reply, l.Call(ctx, "Relay.Apply", dispatch.ApplyArgs{Txn: t}, &reply, callTimeout))
 	})
-	return at, err
+	return a.at, a.err
 }
 
 // List implements rowstore.Store.
 func (s *Store) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
-	var rows []rowstore.Row
-	var more bool
-	var at rowstore.Stamp
-	err := s.either(ctx, func() error {
-		var err error
-		rows, more, at, err = s.direct.List(ctx, table, part, from, to)
-		return err
-	}, func(l *dispatch.Link) error {
+	a := s.either(ctx, func() (a answer) {
+		begun := time.Now()
+		a.rows, a.more, a.at, a.err = s.direct.List(ctx, table, part, from, to)
+		s.observe(a.err, time.Since(begun))
+		return a
+	}, func(l *dispatch.Link) answer {
 		var reply dispatch.RowsReply
-		err := l.Call(ctx, "Relay.List", dispatch.ListArgs{Table: table, Part: part, From: from, To: to}, &reply, callTimeout)
-		if err != nil {
-			return sent(err)
-		}
-		rows, more, at = reply.Rows, reply.More, reply.At
-		return reply.Err()
+		args := dispatch.ListArgs{Table: table, Part: part, From: from, To: to}
+		return relayed(&reply, l.Call(ctx, "Relay.List", args, &reply, callTimeout))
 	})
-	return rows, more, at, err
+	return a.rows, a.more, a.at, a.err
 }
 
 // Feed implements rowstore.Store.
+//
+// A feed answers after its wait at the latest, and one is always under way, so
+// it is the first to miss the answers of a store that has fallen silent towards
+// this machine. It gives up sooner than other calls for that, unless the store
+// only turns out to be slow.
 func (s *Store) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
-	var rows []rowstore.Row
-	var at rowstore.Stamp
-	err := s.either(ctx, func() error {
-		var err error
-		rows, at, err = s.direct.Feed(ctx, table, after, wait)
-		return err
-	}, func(l *dispatch.Link) error {
+	a := s.either(ctx, func() (a answer) {
+		bounded, cancel := context.WithTimeout(ctx, wait+s.patience())
+		defer cancel()
+		begun := time.Now()
+		a.rows, a.at, a.err = s.direct.Feed(bounded, table, after, wait)
+		if len(a.rows) == 0 {
+			s.observe(a.err, time.Since(begun)-wait)
+		}
+		if bounded.Err() != nil && ctx.Err() == nil && errors.Is(a.err, rowstore.ErrUnknown) {
+			if at, ok := s.answers(ctx); ok {
+				return answer{at: rowstore.Stamp{Version: after, Now: at.Now}}
+			}
+		}
+		return a
+	}, func(l *dispatch.Link) answer {
 		var reply dispatch.RowsReply
-		err := l.Call(ctx, "Relay.Feed", dispatch.FeedArgs{Table: table, After: after, Wait: wait}, &reply, wait+callTimeout)
-		if err != nil {
-			return sent(err)
+		args := dispatch.FeedArgs{Table: table, After: after, Wait: wait}
+		return relayed(&reply, l.Call(ctx, "Relay.Feed", args, &reply, wait+callTimeout))
+	})
+	return a.rows, a.at, a.err
+}
+
+// answers asks the store by the direct way and through another entry, and
+// reports whether the direct way answers about as soon: a store that is slow
+// for all is not lost, and calls that were made twice would only be more work
+// for it.
+func (s *Store) answers(ctx context.Context) (rowstore.Stamp, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	direct, around := make(chan answer, 1), make(chan answer, 1)
+	begun := time.Now()
+	go func() { direct <- s.ask(ctx) }()
+	go func() { around <- s.askAround(ctx) }()
+	var late <-chan time.Time
+	for {
+		select {
+		case a := <-direct:
+			return a.at, a.err == nil
+		case a := <-around:
+			if a.err == nil {
+				timer := time.NewTimer(max(leastPatience, 2*time.Since(begun)))
+				defer timer.Stop()
+				late = timer.C
+			}
+		case <-late:
+			return rowstore.Stamp{}, false
 		}
-		rows, at = reply.Rows, reply.At
-		return reply.Err()
+	}
+}
+
+// ownKey is a row that is read to see whether the store answers.
+func (s *Store) ownKey() rowstore.Key {
+	return rowstore.Key{Table: entriesTable, Part: entriesPart, Key: s.own}
+}
+
+func (s *Store) ask(ctx context.Context) (a answer) {
+	k := s.ownKey()
+	a.rows, a.more, a.at, a.err = s.direct.List(ctx, k.Table, k.Part, k.Key, k.Key+"\x00")
+	return a
+}
+
+func (s *Store) askAround(ctx context.Context) answer {
+	p := s.choose(nil)
+	if p == nil {
+		return answer{err: rowstore.ErrUnavailable}
+	}
+	k := s.ownKey()
+	return s.via(p, func(l *dispatch.Link) answer {
+		var reply dispatch.RowsReply
+		args := dispatch.ListArgs{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}
+		return relayed(&reply, l.Call(ctx, "Relay.List", args, &reply, callTimeout))
 	})
-	return rows, at, err
+}
+
+// observe takes the time of a read by the direct way.
+func (s *Store) observe(err error, took time.Duration) {
+	if err != nil || took < 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads.Observe(took)
+}
+
+// patience is how long a feed's answer is worth waiting for beyond its wait.
+func (s *Store) patience() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads.Timeout(leastPatience, mostPatience)
 }
 
 // sent tells a call that never left from one that may have been carried out.
@@ -228,45 +318,81 @@
 
 // either tries the direct way, and then another entry; while the direct way is
 // lost, two other entries. A transaction that is tried twice carries
-// conditions, so that at most one attempt takes effect.
-func (s *Store) either(ctx context.Context, direct func() error, through func(*dispatch.Link) error) error {
-	straight := func() error { return s.straight(ctx, direct) }
+// conditions, so that at most one attempt takes effect, and the other is told
+// of the conflict.
+func (s *Store) either(ctx context.Context, direct func() answer, through func(*dispatch.Link) answer) answer {
+	straight := func() answer { return s.straight(ctx, direct) }
 	p := s.choose(nil)
 	if p == nil {
 		return straight()
 	}
-	first, second := straight, func() error { return s.via(p, through) }
-	if s.isLost() {
-		first = second
-		second = straight
-		if other := s.choose(p); other != nil {
-			second = func() error { return s.via(other, through) }
-		}
+	around := func() answer { return s.via(p, through) }
+	lost := s.lostSignal()
+	if lost != nil {
+		return untilLost(ctx, straight, around, lost)
 	}
-	err := first()
-	if !away(err) || ctx.Err() != nil {
-		return err
+	second := straight
+	if other := s.choose(p); other != nil {
+		second = func() answer { return s.via(other, through) }
 	}
-	again := second()
-	if away(again) && errors.Is(err, rowstore.ErrUnknown) {
-		return err
+	return inTurn(ctx, around(), second)
+}
+
+// inTurn tries the second way if the first was of no use.
+func inTurn(ctx context.Context, first answer, second func() answer) answer {
+	if !away(first.err) || ctx.Err() != nil {
+		return first
 	}
-	return again
+	return worse(first, second())
 }
 
-func (s *Store) straight(ctx context.Context, direct func() error) error {
-	err := direct()
+// worse is the answer of two attempts, of which the first was of no use: if
+// both were, and one of them may yet take effect, that is what is known.
+func worse(first, second answer) answer {
+	if away(second.err) && errors.Is(first.err, rowstore.ErrUnknown) {
+		return first
+	}
+	return second
+}
+
+// untilLost tries the direct way, and the other one beside it as soon as the
+// direct way is lost.
+//
+// Failure guarded against: the store falls silent towards this machine. A call
+// that was under way waited for its whole time-out, a second and a half, before
+// it went another way; the scheduler placed nothing meanwhile, and clients'
+// short jobs ended late. Whichever call misses its answer first now tells the
+// others.
+func untilLost(ctx context.Context, straight, around func() answer, lost <-chan struct{}) answer {
+	answers := make(chan answer, 2)
+	go func() { answers <- straight() }()
+	select {
+	case first := <-answers:
+		return inTurn(ctx, first, around)
+	case <-lost:
+	}
+	go func() { answers <- around() }()
+	first := <-answers
+	if !away(first.err) {
+		return first
+	}
+	return worse(first, <-answers)
+}
+
+func (s *Store) straight(ctx context.Context, direct func() answer) answer {
+	a := direct()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if away(err) && ctx.Err() == nil && !s.lost {
-		s.lost = true
-		s.log.Warn().Err(err).Msg("store lost; other entries are asked")
+	if away(a.err) && ctx.Err() == nil && s.lost != nil {
+		close(s.lost)
+		s.lost = nil
+		s.log.Warn().Err(a.err).Msg("store lost; other entries are asked")
 		select {
 		case s.wake <- struct{}{}:
 		default:
 		}
 	}
-	return err
+	return a
 }
 
 // probeLoop probes the direct way whenever it is lost.
@@ -283,39 +409,39 @@
 
 // probe tries the direct way until it works again.
 func (s *Store) probe(ctx context.Context) {
-	key := rowstore.Key{Table: entriesTable, Part: entriesPart, Key: s.own}
 	for ctx.Err() == nil {
 		wait.For(ctx, probeEvery)
-		if _, err := rowstore.Get(ctx, s.direct, key); err != nil {
+		if s.ask(ctx).err != nil {
 			continue
 		}
 		s.mu.Lock()
-		s.lost = false
+		s.lost = make(chan struct{})
 		s.mu.Unlock()
 		s.log.Warn().Msg("store regained")
 		return
 	}
 }
 
-func (s *Store) isLost() bool {
+// lostSignal is closed when the direct way is lost; it is nil while it is.
+func (s *Store) lostSignal() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.lost
 }
 
-func (s *Store) via(p *peer, through func(*dispatch.Link) error) error {
+func (s *Store) via(p *peer, through func(*dispatch.Link) answer) answer {
 	s.relayed.Add(1)
-	err := through(p.link)
+	a := through(p.link)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if away(err) {
+	if away(a.err) {
 		p.avoid = time.Now().Add(min(maxAvoid, avoidFor<<min(p.failures, 3)))
 		p.failures++
-		return err
+		return a
 	}
 	p.failures = 0
 	s.last = p
-	return err
+	return a
 }
 
 // choose returns another entry that is not known to be of no help, the one
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -266,6 +266,13 @@
 		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
 	})
 	version := stamp.Version
+	var conflict *rowstore.ConflictError
+	if errors.As(err, &conflict) {
+		// Two attempts may have been made, of which one has taken effect.
+		if v := ownVersion(conflict, lease); v != 0 {
+			version, err = v, nil
+		}
+	}
 	if errors.Is(err, rowstore.ErrUnknown) {
 		// Applied or not: if the row shows this very attempt, it was.
 		now, getErr := rowstore.Get(ctx, e.deps.Store, leaseKey)
--- a/sessions/machines/world_test.go
+++ b/sessions/machines/world_test.go
@@ -245,6 +245,39 @@
 	})
 }
 
+// The store falls silent towards the scheduler's machine, and serves all
+// others. What the scheduler had under way at the store waited for a second and
+// a half before it went through another entry; no task was placed meanwhile,
+// and clients' short jobs ended late.
+func TestSilentWayToTheStoreIsLeftSoon(t *testing.T) {
+	play(t, Options{Entries: 5, Machines: 4}, func(t *testing.T, w *World, c *Client) {
+		time.Sleep(6 * second) // the entries have learnt of each other
+		leader := w.Leader()
+		client := NewClient(w.Rules, func(n int) Jobs {
+			for _, e := range w.Entries() {
+				if e != leader {
+					return e.Service()
+				}
+			}
+			return nil
+		})
+		w.Store.SetFault(leader.Node, memstore.Silent)
+		for n := range 5 {
+			j := job(n, 4)
+			submit(t, client, j)
+			begun := time.Now()
+			for client.State(j.ID) != workload.Completed {
+				time.Sleep(10 * time.Millisecond)
+			}
+			// Two steps of a second each; the silence is noticed once.
+			if took := time.Since(begun); took > 2900*time.Millisecond {
+				t.Errorf("job %d took %v", n, took)
+			}
+		}
+		w.Store.SetFault(leader.Node, memstore.Healthy)
+	})
+}
+
 // The store turns the scheduler's machine away and serves the others. Clients
 // that reach this entry are not to be refused, and work goes on.
 func TestStoreThatTurnsOneMachineAway(t *testing.T) {
