--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -97,6 +97,8 @@
 func (t *Term) collect() round {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	begun := t.deps.Now()
+	defer func() { t.deps.Counters.Plan.Observe(t.deps.Now() - begun) }()
 	t.plan()
 	r := round{ends: map[*worker]uint64{}}
 	for _, w := range t.workers {
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -20,8 +20,11 @@
 	// without success.
 	Commits, CommitErrors atomic.Int64
 	// FirstStart is the time from acceptance to a job's first placement,
-	// Commit that of a transaction.
-	FirstStart, Commit histogram.Latency
+	// Commit that of a transaction, Plan that of a plan with its encoding.
+	FirstStart, Commit, Plan histogram.Latency
+	// Agents is the number of agents that the present term knows of, and
+	// AgentsHeard that of them which answer; both are 0 between terms.
+	Agents, AgentsHeard atomic.Int64
 }
 
 // Figures are the counters as they are shown.
@@ -31,6 +34,7 @@
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"suspected": c.Suspected.Load(),
 		"commits":   c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
-		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(),
+		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
+		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
 	}
 }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -147,6 +147,8 @@
 	t.commitLoop()
 	t.cancel()
 	group.Wait()
+	t.deps.Counters.Agents.Store(0)
+	t.deps.Counters.AgentsHeard.Store(0)
 }
 
 // wakeUp asks the commit loop for a plan.
@@ -178,6 +180,7 @@
 		changed := t.loseWorkers()
 		changed = t.beginOccurrences() || changed
 		changed = t.regroup() || changed
+		t.countAgents()
 		t.mu.Unlock()
 		if changed {
 			t.wakeUp()
@@ -185,6 +188,18 @@
 	}
 }
 
+// countAgents shows how many agents are known and answer.
+func (t *Term) countAgents() {
+	heard := int64(0)
+	for _, l := range t.agents {
+		if l.process != 0 && !l.silent {
+			heard++
+		}
+	}
+	t.deps.Counters.Agents.Store(int64(len(t.agents)))
+	t.deps.Counters.AgentsHeard.Store(heard)
+}
+
 func (t *Term) beginOccurrences() bool {
 	changed := false
 	now := time.Now()
