--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -111,10 +111,9 @@
 	// idleSince is when it was first seen that nothing of the job runs.
 	idleSince time.Time
 	// took is how long the tasks of each step are expected to take, by what
-	// was known at tookAt, when timed of its tasks had been timed.
-	took   []time.Duration
-	tookAt time.Duration
-	timed  int
+	// was known when timed of its tasks had been timed.
+	took  []time.Duration
+	timed int
 	// key is the job's place in the order of the last plan.
 	key order.Key
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -117,7 +117,7 @@
 	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
 		return order.Key{Priority: j.queue.Priority, By: accepted}
 	}
-	took := t.expected(j)
+	took := j.expected()
 	whole := order.Chain(j.spec.Steps, took, func(int) bool { return false })
 	left := whole
 	if len(j.occurrences) > 0 {
@@ -132,22 +132,17 @@
 	return key
 }
 
-// expectAgain is the time after which what is expected of a job's tasks is
-// worked out anew. Plans are made up to 60 times a second, and what the tasks
-// of other jobs tell changes little meanwhile.
-const expectAgain = 500 * time.Millisecond
-
-// expected is how long the tasks of each step of the job are expected to take.
-func (t *Term) expected(j *job) []time.Duration {
-	now := t.deps.Now()
+// expected is how long the tasks of each step of the job are expected to take:
+// as estimated, until some of the step's own have ended.
+func (j *job) expected() []time.Duration {
 	timed := j.timedTasks()
-	if len(j.took) > 0 && timed == j.timed && now-j.tookAt < expectAgain {
+	if len(j.took) > 0 && timed == j.timed {
 		return j.took
 	}
-	j.tookAt, j.timed = now, timed
+	j.timed = timed
 	j.took = j.took[:0]
 	for i := range j.spec.Steps {
-		d := t.durations.Expect(j.spec.Queue.Name, j.spec.Steps[i].Estimate)
+		d := j.spec.Steps[i].Estimate
 		if len(j.occurrences) > 0 {
 			s := j.occurrences[0].steps[i]
 			d = order.Known(d, s.took, s.timed)
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -12,7 +12,6 @@
 
 	"github.com/rs/zerolog"
 
-	"persimmonrock.example/decide/order"
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
@@ -109,8 +108,6 @@
 	lease        leaseRow
 	leaseVersion uint64
 	storeClock   storeClock
-	// durations learns how long tasks take.
-	durations order.Durations
 }
 
 // storeClock maps the store's clock to this process's.
@@ -343,7 +340,6 @@
 	took := k.worked + e.Worked
 	s.took += took
 	s.timed++
-	t.durations.Observe(j.spec.Queue.Name, s.spec.Estimate, took, len(s.tasks))
 }
 
 // failedPause delays the next run of a lasting task that keeps failing, by
