--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -29,7 +29,8 @@
 	silentFor = time.Second
 	// looksPerTxn is how many times as long as a look a transaction may take.
 	looksPerTxn = 4
-	// pingTimeout bounds the question to the holder.
+	// pingTimeout bounds the question to the holder, leastPing one that is
+	// asked shortly before its silence has lasted for long enough.
 	pingTimeout = 350 * time.Millisecond
 	leastPing   = 100 * time.Millisecond
 	// weakerWait is how long an entry leaves a free lease to the stronger
