--- a/sessions/machines/power_loss_test.go
+++ b/sessions/machines/power_loss_test.go
@@ -37,20 +37,12 @@
 		j := lastingJob(1, fleetWorkers)
 		j.Steps[0].Need.CPU = capacity.CPU * 3 / 4
 		submit(t, c, j)
-		for _, e := range w.Entries() {
-			e.Kill()
-		}
+		w.KillAll()
 		for _, a := range w.Agents() {
-			a.Kill()
 			a.NewWorker()
 		}
 		time.Sleep(second)
-		for _, e := range w.Entries() {
-			e.Start()
-		}
-		for _, a := range w.Agents() {
-			a.Start()
-		}
+		w.StartAll()
 		for w.Leader() == nil {
 			time.Sleep(time.Millisecond)
 		}
--- a/sessions/machines/world_test.go
+++ b/sessions/machines/world_test.go
@@ -98,19 +98,9 @@
 		submit(t, c, job(1, 6))
 		time.Sleep(300 * time.Millisecond)
 		submit(t, c, job(2, 6))
-		for _, e := range w.Entries() {
-			e.Kill()
-		}
-		for _, a := range w.Agents() {
-			a.Kill()
-		}
+		w.KillAll()
 		time.Sleep(second)
-		for _, e := range w.Entries() {
-			e.Start()
-		}
-		for _, a := range w.Agents() {
-			a.Start()
-		}
+		w.StartAll()
 		await(t, c, JobID(1), workload.Completed, 12*second)
 		await(t, c, JobID(2), workload.Completed, 12*second)
 		if w.Rules.Started != 24 {
