Data centres are drained on the operator's word

Cause: nothing read the operator's rows that drain a data centre (on the users' pages: evacuate).

Every entry now follows these rows in the feed that brings the configuration, and reads all of them anew after a fault of the feed. The scheduler places nothing there, tells the agents there with each claim, and moves lasting tasks as their steps allow. Agents have the last word: they refuse what was ordered before, also starts that are being repeated. Claims carry the version as of which they know, since calls overtake each other.

Ruled out: agents that read the rows themselves (55 feeds more at the store, and each start follows from a transaction of the scheduler in any case).

--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -62,6 +62,7 @@
 		r.deps.Log.Info().Uint64("epoch", c.Epoch).Uint64("before", r.epoch).Msg("new scheduler")
 		r.epoch = c.Epoch
 	}
+	r.acceptDrain(c)
 	if c.Process != r.token {
 		return dispatch.RefusedProcess
 	}
@@ -71,6 +72,19 @@
 	return ""
 }
 
+// acceptDrain takes note of whether the data centre is drained. Calls overtake
+// each other, so an older word never replaces a newer one.
+func (r *Runner) acceptDrain(c dispatch.Claim) {
+	if c.DrainsVersion <= r.drainsVersion {
+		return
+	}
+	r.drainsVersion = c.DrainsVersion
+	if c.Drained != r.drained {
+		r.drained = c.Drained
+		r.deps.Log.Info().Bool("drained", c.Drained).Uint64("version", c.DrainsVersion).Msg("data centre")
+	}
+}
+
 func (r *Runner) orderStart(ctx context.Context, l *life, o dispatch.StartOrder, payload string) {
 	if x, ok := l.runs[o.Run]; ok {
 		if x.state != dispatch.RunVoid {
@@ -113,6 +127,9 @@
 	if l.worker.Draining || l.left {
 		return "the worker is leaving"
 	}
+	if r.drained {
+		return dispatch.ReasonDrained
+	}
 	if l.silent || r.deps.Now()-l.answeredAt > silentAfter {
 		return "the worker does not answer"
 	}
@@ -139,10 +156,15 @@
 		lease := r.leaseLimit(l)
 		current := r.life == l && x.state == dispatch.RunPending && !x.stopping
 		patience := l.answers.timeout(try)
+		drained := r.drained
 		r.mu.Unlock()
 		if !current {
 			return
 		}
+		if drained {
+			r.giveUp(ctx, l, x, uncertain, dispatch.ReasonDrained)
+			return
+		}
 		if lease == 0 || r.deps.Now()-begun > settleTime {
 			r.giveUp(ctx, l, x, uncertain, "no answer within the grant")
 			return
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -54,6 +54,9 @@
 
 	epoch    uint64
 	grantEnd time.Duration
+	// drained says that nothing may start here, as of drainsVersion.
+	drained       bool
+	drainsVersion uint64
 
 	life *life
 	// candidate is a worker that has reported and is not yet known to live.
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -53,12 +53,12 @@
 	direct := store.New(p.settings.StoreAddress)
 	rows := relay.New(direct, p.peerAddress(), dispatch.NewLink, p.log)
 	clock := intake.NewStoreClock(sinceBoot)
-	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig}, p.log, clock)
+	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
 	counters := &scheduler.Counters{}
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(), Power: p.settings.Cores,
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
-	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Link: dispatch.NewLink, Policy: p.advisor(), Counters: counters})
+	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Drains: config.Drains, Link: dispatch.NewLink, Policy: p.advisor(), Counters: counters})
 	service := intake.New(rows, config, elector, clock, p.log)
 	server := rpc.NewServer()
 	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
--- a/cmd/persimmonrock/commands.go
+++ b/cmd/persimmonrock/commands.go
@@ -26,6 +26,7 @@
 		group("job", "submit, list, get, wait for, cancel and release jobs", jobCommands),
 		group("peer", "make certificates for the system's own processes", peerCommands),
 		timelineCommand.command("timeline"),
+		drainsCommand.command("drains"),
 		explainCommand(),
 		group("settings", "check a settings file", settingsCommands),
 		versionCommand.command("version"),
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -25,20 +26,26 @@
 	configRetry = 100 * time.Millisecond
 )
 
-// ConfigSource tells where the operator's configuration is and how to read
-// it.
+// ConfigSource tells where the operator's rows are and how to read them.
 type ConfigSource struct {
+	// Key is the row of the configuration. The drains are rows of the same
+	// part of the same table.
 	Key   rowstore.Key
 	Parse func([]byte) (*workload.Config, error)
+	// Drained names the data centre that is drained for as long as a row is
+	// there. ok is false for a row of another kind, and err is set for the row
+	// of a drain that names no data centre. Nil if there are no such rows.
+	Drained func(rowstore.Key) (dataCentre string, ok bool, err error)
 }
 
-// Follower keeps the newest configuration. Versions only go up within a
-// process.
+// Follower keeps the newest configuration, and the drained data centres.
+// Versions only go up within a process.
 type Follower struct {
 	store   rowstore.Store
 	source  ConfigSource
 	log     zerolog.Logger
 	current atomic.Pointer[workload.Config]
+	drains  atomic.Pointer[workload.Drains]
 	// heard is when the store last answered, on now's clock.
 	heard atomic.Int64
 	now   func() time.Duration
@@ -54,36 +61,38 @@
 // ever. No job is accepted without a configuration, so the answer that brought
 // it has set the clock.
 func NewFollower(store rowstore.Store, source ConfigSource, log zerolog.Logger, clock *StoreClock) *Follower {
-	return &Follower{store: store, source: source, log: log, now: clock.now, clock: clock}
+	f := &Follower{store: store, source: source, log: log, now: clock.now, clock: clock}
+	f.drains.Store(&workload.Drains{})
+	return f
 }
 
 // Current returns the configuration in force, or nil.
 func (f *Follower) Current() *workload.Config { return f.current.Load() }
 
+// Drains returns the drained data centres, and how long ago the store last
+// confirmed that they are the ones.
+func (f *Follower) Drains() (workload.Drains, time.Duration) {
+	// The age is read first: it must not be that of a later answer.
+	age := f.Heard()
+	return *f.drains.Load(), age
+}
+
 // Heard returns how long ago the store last answered.
 func (f *Follower) Heard() time.Duration { return f.now() - time.Duration(f.heard.Load()) }
 
-// Run follows the configuration until ctx ends.
+// Run follows the operator's rows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	after, listed, failing := uint64(0), false, false
 	for ctx.Err() == nil {
-		var rows []rowstore.Row
-		var at rowstore.Stamp
-		var err error
-		call, cancel := context.WithTimeout(ctx, configCall)
-		if listed {
-			rows, at, err = f.store.Feed(call, f.source.Key.Table, after, configWait)
-		} else {
-			rows, _, at, err = f.store.List(call, f.source.Key.Table, f.source.Key.Part, f.source.Key.Key, f.source.Key.Key+"\x00")
-		}
-		cancel()
+		asked := f.now()
+		rows, at, err := f.read(ctx, after, listed)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				f.log.Warn().Err(err).Msg("configuration feed lost")
 			}
 			failing = true
-			// After any fault of the feed the row itself is read: a feed may
-			// have been silent while changes were made.
+			// After any fault of the feed the rows themselves are read: a feed
+			// may have been silent while changes were made.
 			listed = listed && !errors.Is(err, rowstore.ErrCompacted) && !errors.Is(err, rowstore.ErrUnknown)
 			wait.For(ctx, configRetry)
 			continue
@@ -92,7 +101,8 @@
 			failing = false
 			f.log.Warn().Msg("configuration feed regained")
 		}
-		f.heard.Store(int64(f.now()))
+		f.takeDrains(rows, at, listed)
+		f.answered(asked, listed)
 		f.clock.Set(at)
 		after, listed = max(after, at.Version), true
 		for _, row := range rows {
@@ -103,6 +113,60 @@
 	}
 }
 
+// read lists the operator's rows, or waits for their changes after a version.
+func (f *Follower) read(ctx context.Context, after uint64, listed bool) ([]rowstore.Row, rowstore.Stamp, error) {
+	call, cancel := context.WithTimeout(ctx, configCall)
+	defer cancel()
+	if listed {
+		return f.store.Feed(call, f.source.Key.Table, after, configWait)
+	}
+	return rowstore.ListAll(call, f.store, f.source.Key.Table, f.source.Key.Part)
+}
+
+// answered notes an answer of the store. What a feed says holds at its end; a
+// list may have been read as early as it was asked for.
+func (f *Follower) answered(asked time.Duration, feed bool) {
+	if feed {
+		asked = f.now()
+	}
+	f.heard.Store(int64(asked))
+}
+
+// takeDrains takes the changes of the drains, or all of them from a list.
+func (f *Follower) takeDrains(rows []rowstore.Row, at rowstore.Stamp, changes bool) {
+	if f.source.Drained == nil {
+		return
+	}
+	before := f.drains.Load()
+	next := workload.Drains{Version: max(before.Version, at.Version), DataCentres: map[string]bool{}}
+	if changes {
+		next.Version = before.Version
+		maps.Copy(next.DataCentres, before.DataCentres)
+	}
+	for _, row := range rows {
+		if row.Key.Table != f.source.Key.Table || row.Key.Part != f.source.Key.Part {
+			continue
+		}
+		name, ok, err := f.source.Drained(row.Key)
+		switch {
+		case err != nil:
+			f.log.Error().Err(err).Uint64("row", row.Version).Msg("drain can't be read; it is ignored")
+		case !ok:
+		case row.Deleted:
+			next.Version = max(next.Version, row.Version)
+			delete(next.DataCentres, name)
+		default:
+			next.Version = max(next.Version, row.Version)
+			next.DataCentres[name] = true
+		}
+	}
+	if maps.Equal(before.DataCentres, next.DataCentres) {
+		return
+	}
+	f.drains.Store(&next)
+	f.log.Info().Strs("data_centres", next.Names()).Uint64("version", next.Version).Msg("drained data centres")
+}
+
 func (f *Follower) take(row rowstore.Row) {
 	c, err := f.source.Parse(row.Value)
 	if err != nil {
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -16,6 +16,10 @@
 	// from workers on which they got on too slowly. Suspected counts how often
 	// a worker got no more tasks that end by themselves, since it failed them.
 	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued, Suspected atomic.Int64
+	// Drained counts lasting tasks that were moved out of a drained data
+	// centre; Drains is what is drained now.
+	Drained atomic.Int64
+	Drains  atomic.Pointer[[]DrainedDataCentre]
 	// Commits counts the transactions and their repeats, CommitErrors those
 	// without success.
 	Commits, CommitErrors atomic.Int64
@@ -27,13 +31,31 @@
 	Agents, AgentsHeard atomic.Int64
 }
 
+// DrainedDataCentre is a drained data centre and what is still there.
+type DrainedDataCentre struct {
+	DataCentre string `json:"data_centre"`
+	Workers    int    `json:"workers"`
+	// Lasting and Ending count the runs there that last, and those that end by
+	// themselves.
+	Lasting int `json:"lasting"`
+	Ending  int `json:"ending"`
+}
+
+// drains lists the drained data centres.
+func (c *Counters) drains() []DrainedDataCentre {
+	if list := c.Drains.Load(); list != nil {
+		return *list
+	}
+	return []DrainedDataCentre{}
+}
+
 // Figures are the counters as they are shown.
 func (c *Counters) Figures() map[string]any {
 	return map[string]any{
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
-		"suspected": c.Suspected.Load(),
-		"commits":   c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
+		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
+		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
 	}
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -79,6 +79,9 @@
 func (l *agentLink) claim() dispatch.Claim {
 	t := l.term
 	c := dispatch.Claim{Epoch: t.epoch, Process: l.process}
+	if l.worker != nil {
+		c.Drained, c.DrainsVersion = l.worker.drained, t.drains.Version
+	}
 	if t.deps.Now() >= t.validUntil || l.process == 0 || l.worker == nil {
 		return c
 	}
@@ -264,6 +267,7 @@
 			Int("cpu", info.Capacity.CPU).Int("memory", info.Capacity.Memory).Msg("worker")
 	}
 	w.info = info
+	w.drained = t.drains.Covers(info.DataCentre)
 	w.alive = alive
 	return changed
 }
@@ -296,9 +300,11 @@
 		t.deps.Log.Info().Stringer("run", r.Run).Str("worker", string(w.id)).Str("why", r.Reason).Msg("run void")
 		t.deps.Counters.Void.Add(1)
 		w.remove(r.Run)
-		if s.advice != nil {
+		switch {
+		case r.Reason == dispatch.ReasonDrained:
+		case s.advice != nil:
 			delete(s.advice.tickets, w.id)
-		} else {
+		default:
 			w.turnedAway(t.deps.Now())
 		}
 		j.release(s, k, "")
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -18,6 +18,10 @@
 		return
 	}
 	t.refresh()
+	t.followDrains()
+	if t.blind {
+		return
+	}
 	v := t.newView()
 	t.learner.trials.scan(v.workers, t.learner.weights(), v.now)
 	for _, j := range t.active {
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -58,9 +58,11 @@
 	}
 	moves := pressure.Regroup(tasks, free, t.difference, t.looks, share)
 	for _, m := range moves {
-		t.moveTo(v, found[m.One], m.To)
+		t.deps.Counters.Regrouped.Add(1)
+		t.moveTo(v, found[m.One], m.To, "regroup")
 		if m.Other >= 0 {
-			t.moveTo(v, found[m.Other], tasks[m.One].Worker)
+			t.deps.Counters.Regrouped.Add(1)
+			t.moveTo(v, found[m.Other], tasks[m.One].Worker, "regroup")
 		}
 	}
 	return len(moves) > 0
@@ -132,23 +134,23 @@
 	}
 	for i, w := range v.workers {
 		full := s.spec.Spread > 0 && on[w.id] >= s.spec.Spread && w.id != k.worker
-		if full || w.info.Draining || w.info.Service != j.queue.Service || !w.info.HasLabel(s.spec.Label) || w.health.suspect(v.now) {
+		if full || w.leaving() || w.info.Service != j.queue.Service || !w.info.HasLabel(s.spec.Label) || w.health.suspect(v.now) {
 			barred[i] = true
 		}
 	}
 	return barred
 }
 
-// moveTo stops a task and keeps room for it at another worker.
-func (t *Term) moveTo(v *view, m movable, to int) {
+// moveTo stops a task and keeps room for it at another worker; why is told in
+// the log.
+func (t *Term) moveTo(v *view, m movable, to int, why string) {
 	w := v.workers[to]
 	until := time.Now().Add(pinFor)
 	m.task.pin, m.task.pinUntil = w.id, until
 	m.task.moves++
 	w.kept[m.id] = keptRoom{need: m.step.spec.Reserved(), until: until}
-	t.deps.Counters.Regrouped.Add(1)
 	t.deps.Log.Info().Stringer("run", workload.RunID{Task: m.id, Run: m.task.run}).Str("from", string(m.task.worker)).
-		Str("room", string(w.id)).Str("image", m.step.spec.Image).Msg("regroup")
+		Str("room", string(w.id)).Str("image", m.step.spec.Image).Msg(why)
 	t.stop(m.id, m.task)
 }
 
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -41,6 +41,9 @@
 	Now func() time.Duration
 	// Config returns the configuration in force, or nil.
 	Config func() *workload.Config
+	// Drains returns the drained data centres, and how long ago the store
+	// confirmed them.
+	Drains func() (workload.Drains, time.Duration)
 	// Link makes the link to the process at an address.
 	Link func(address string) *dispatch.Link
 	// Policy names the permitted workers of some queues; nil for none.
@@ -90,6 +93,13 @@
 	// queues are those of the configuration of version queuesOf.
 	queues   map[string]workload.Queue
 	queuesOf uint64
+	// drains is what was last known of them; blind says that it is too old to
+	// place anything by.
+	drains workload.Drains
+	blind  bool
+	// leaving is when drained data centres were last looked at for tasks to
+	// move.
+	leaving time.Duration
 	// regrouped is when the mixing of serving images was last looked at.
 	regrouped time.Duration
 	looks     int
@@ -176,6 +186,8 @@
 		t.mu.Lock()
 		changed := t.loseWorkers()
 		changed = t.beginOccurrences() || changed
+		changed = t.followDrains() || changed
+		changed = t.leaveDrained() || changed
 		changed = t.regroup() || changed
 		t.countAgents()
 		t.mu.Unlock()
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -18,6 +18,8 @@
 	info  workload.Worker
 	// alive says that the agent has listed it and its grant has not run out.
 	alive bool
+	// drained says that its data centre is.
+	drained bool
 	// bound is when the last lease that may have been granted is over.
 	bound time.Duration
 	// runs are the runs on record there, with what they take.
@@ -132,9 +134,13 @@
 
 // takes reports whether tasks of the service may begin on the worker.
 func (w *worker) takes(service string) bool {
-	return w.alive && !w.info.Draining && w.info.Service == service
+	return w.alive && !w.leaving() && w.info.Service == service
 }
 
+// leaving reports whether nothing more may begin on the worker, whatever its
+// room.
+func (w *worker) leaving() bool { return w.info.Draining || w.drained }
+
 // rackOf finds the rack among a worker's labels: the first label is the
 // worker's kind, the last its rack.
 func rackOf(labels []string) string {
--- a/infra/rowstore/memstore/memstore.go
+++ b/infra/rowstore/memstore/memstore.go
@@ -182,6 +182,15 @@
 	return stamp, err
 }
 
+// ApplyNow applies a transaction whatever the faults, for a client that they
+// do not concern.
+func (s *Store) ApplyNow(t rowstore.Txn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.apply(t)
+	return err
+}
+
 // carryOut applies a transaction, now or later, and reports whether its client
 // hears of that.
 func (s *Store) carryOut(t rowstore.Txn) (stamp rowstore.Stamp, err error, lost bool) {
--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -15,6 +15,8 @@
 type Agent struct {
 	world *World
 	Node  string
+	// dataCentre is that of the machine.
+	dataCentre string
 
 	mu      sync.Mutex
 	worker  *Worker
@@ -38,7 +40,7 @@
 	life := w.lives
 	w.mu.Unlock()
 	info := workload.Worker{
-		ID: workload.WorkerID(fmt.Sprintf("w-%d", life)), Service: Service, Labels: []string{"a", "r1"}, Capacity: w.opt.Capacity,
+		ID: workload.WorkerID(fmt.Sprintf("w-%d", life)), Service: Service, DataCentre: a.dataCentre, Labels: []string{"a", "r1"}, Capacity: w.opt.Capacity,
 	}
 	worker := NewWorker(info, w.Rules, w.opt.Outcome, w.opt.Seed+uint64(life))
 	worker.advisor = w.advisor
--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -12,12 +12,16 @@
 // Rules watches what the workers do and what clients are told, and keeps
 // what must never happen.
 type Rules struct {
-	mu      sync.Mutex
-	jobs    map[workload.JobID]*watched
-	broken  []string
-	cutAt   time.Time
-	Started int
-	Done    int
+	mu     sync.Mutex
+	jobs   map[workload.JobID]*watched
+	broken []string
+	cutAt  time.Time
+	// drained is since when each data centre is drained, lastStart how long
+	// after that the last task began there.
+	drained   map[string]time.Time
+	lastStart time.Duration
+	Started   int
+	Done      int
 }
 
 // watched is a job as clients and workers have seen it.
@@ -44,7 +48,9 @@
 }
 
 // NewRules returns rules that know of no job.
-func NewRules() *Rules { return &Rules{jobs: map[workload.JobID]*watched{}} }
+func NewRules() *Rules {
+	return &Rules{jobs: map[workload.JobID]*watched{}, drained: map[string]time.Time{}}
+}
 
 // Broken lists what must not have happened.
 func (r *Rules) Broken() []string {
@@ -141,10 +147,48 @@
 	r.cutAt = time.Now()
 }
 
+// drainBound is how long after its drain a task may still begin in a data
+// centre, on the users' tightest terms.
+const drainBound = 5 * time.Second
+
+// drain notes that a data centre is drained, or that this was taken back.
+func (r *Rules) drain(dataCentre string, drained bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !drained {
+		delete(r.drained, dataCentre)
+		return
+	}
+	if r.drained[dataCentre].IsZero() {
+		r.drained[dataCentre] = time.Now()
+	}
+}
+
+// LastStart is how long after the drain of its data centre the last task began
+// there.
+func (r *Rules) LastStart() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastStart
+}
+
+// startedDrained checks a start against the drains.
+func (r *Rules) startedDrained(w *Worker, o workerctl.StartOrder) {
+	since, ok := r.drained[w.info.DataCentre]
+	if !ok {
+		return
+	}
+	r.lastStart = max(r.lastStart, time.Since(since))
+	if r.lastStart > drainBound {
+		r.breach("%s started %s %v after its data centre was drained", w, o.Run, time.Since(since))
+	}
+}
+
 func (r *Rules) started(w *Worker, x *working, o workerctl.StartOrder) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Started++
+	r.startedDrained(w, o)
 	t := o.Run.Task
 	j := r.jobs[t.Job]
 	if j == nil || j.spec.Payload != o.Payload || t.Step >= len(j.spec.Steps) {
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +38,9 @@
 	// Power is the processor of each entry's machine in cores; an entry
 	// without one has none named.
 	Power []float64
+	// DataCentres is the number of data centres, dc-0 and so on, to which the
+	// workers belong in turn; 0 gives them none.
+	DataCentres int
 	// Capacity is that of each worker.
 	Capacity workload.Resources
 	// Outcome tells how runs behave.
@@ -62,7 +66,9 @@
 	agents  []*Agent
 	servers map[string]*server
 	cut     map[string]bool
-	lives   int
+	// hidden lists the machines that can't read the operator's rows.
+	hidden map[string]bool
+	lives  int
 }
 
 // server is what listens at an address.
@@ -87,7 +93,7 @@
 func New(opt Options) *World {
 	w := &World{
 		Store: memstore.New(opt.Seed), Rules: NewRules(), advisor: newAdvisor(), opt: opt, began: time.Now(), log: zerolog.Nop(),
-		servers: map[string]*server{}, cut: map[string]bool{},
+		servers: map[string]*server{}, cut: map[string]bool{}, hidden: map[string]bool{},
 	}
 	if opt.Log != nil {
 		w.log = zerolog.New(opt.Log).With().Timestamp().Logger()
@@ -98,7 +104,7 @@
 		e.Start()
 	}
 	for i := range opt.Machines {
-		a := &Agent{world: w, Node: fmt.Sprintf("machine-%d", i)}
+		a := &Agent{world: w, Node: fmt.Sprintf("machine-%d", i), dataCentre: w.DataCentre(i)}
 		w.agents = append(w.agents, a)
 		a.NewWorker()
 		a.Start()
@@ -154,6 +160,34 @@
 // Agents returns the agents.
 func (w *World) Agents() []*Agent { return w.agents }
 
+// HideOperator sets whether a machine can't read the operator's rows, though it
+// reaches the rest of the store.
+func (w *World) HideOperator(node string, hidden bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hidden[node] = hidden
+}
+
+// DataCentre names the data centre of the n-th machine.
+func (w *World) DataCentre(n int) string {
+	if w.opt.DataCentres == 0 {
+		return ""
+	}
+	return fmt.Sprintf("dc-%d", n%w.opt.DataCentres)
+}
+
+// Drain drains a data centre, or takes that back. The operator reaches the
+// store whatever its faults.
+func (w *World) Drain(dataCentre string, drained bool) {
+	key := rowstore.Key{Table: noConfig.Key.Table, Key: drainKey + dataCentre}
+	txn := rowstore.Txn{Deletes: []rowstore.Key{key}}
+	if drained {
+		txn = rowstore.Txn{Puts: []rowstore.Put{{Key: key, Value: []byte("{}")}}}
+	}
+	must(w.Store.ApplyNow(txn))
+	w.Rules.drain(dataCentre, drained)
+}
+
 // Leader returns the entry whose scheduler leads, or nil.
 func (w *World) Leader() *Entry {
 	for _, e := range w.entries {
@@ -282,10 +316,16 @@
 	done    chan struct{}
 }
 
+// drainKey begins the key of a drain.
+const drainKey = "drain/"
+
 // noConfig is a source of configuration that is never written: the tests set
 // queues by themselves.
 var noConfig = intake.ConfigSource{Key: rowstore.Key{Table: "op", Key: "config"}, Parse: func([]byte) (*workload.Config, error) {
 	return nil, errors.New("no configuration")
+}, Drained: func(key rowstore.Key) (string, bool, error) {
+	name, ok := strings.CutPrefix(key.Key, drainKey)
+	return name, ok, nil
 }}
 
 // Start starts a process, unless one runs.
@@ -306,7 +346,7 @@
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Power: w.power(e), Grant: grant, StatusFor: 2 * time.Minute,
 	}, scheduler.Deps{
-		Store: rows, Log: log, Now: w.now, Config: config.Current, Link: w.link(e.Node), Policy: w.advisor, Counters: &scheduler.Counters{},
+		Store: rows, Log: log, Now: w.now, Config: config.Current, Drains: config.Drains, Link: w.link(e.Node), Policy: w.advisor, Counters: &scheduler.Counters{},
 	})
 	service := intake.New(rows, config, elector, clock, log)
 	server := rpc.NewServer()
@@ -389,6 +429,13 @@
 	return true
 }
 
+// hides reports whether the machine can't read the table.
+func (c *cutStore) hides(table string) bool {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	return table == noConfig.Key.Table && c.world.hidden[c.node]
+}
+
 func (c *cutStore) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
 	if c.away(ctx) {
 		return rowstore.Stamp{}, rowstore.ErrUnavailable
@@ -397,14 +444,14 @@
 }
 
 func (c *cutStore) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
-	if c.away(ctx) {
+	if c.away(ctx) || c.hides(table) {
 		return nil, false, rowstore.Stamp{}, rowstore.ErrUnavailable
 	}
 	return c.Store.List(ctx, table, part, from, to)
 }
 
 func (c *cutStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
-	if c.away(ctx) {
+	if c.away(ctx) || c.hides(table) {
 		return nil, rowstore.Stamp{}, rowstore.ErrUnavailable
 	}
 	return c.Store.Feed(ctx, table, after, wait)
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -20,8 +20,17 @@
 	Echo time.Duration
 	// Grant is how long after Echo the worker's lease may last.
 	Grant time.Duration
+	// Drained says that nothing may start on the agent's worker, since its data
+	// centre is drained, as of DrainsVersion. The agent keeps what the highest
+	// version says; version 0 says nothing.
+	Drained       bool
+	DrainsVersion uint64
 }
 
+// ReasonDrained is why a run is void whose data centre was drained before it
+// began.
+const ReasonDrained = "the data centre is drained"
+
 // StartOrder asks the agent for one run that the store has on record.
 type StartOrder struct {
 	Run   workload.RunID
