Logs are put in order by steady clocks, and their summary always ends

Cause: explain -summary follows a job back from its end along the slowest tasks, each step to before the placement of the task.

Each line now carries the process's steady clock (steady_us) and the name of its start (start_id). ops/logtime ties the clocks together by what two processes tell of the same event: an effect is never earlier than its cause, which bounds the offset from both sides (placed and start, a run's end at the agent and at the scheduler). Processes that nothing ties stand where their wall clock puts them, and are named; explain marks their lines. The way back goes by each task's own end, so it meets each task once at most, whatever the times.

--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -40,6 +41,9 @@
 	logsPerSecond = 1000
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
+	// startDigits is the length of the name that each start of a process gives
+	// itself in its lines.
+	startDigits = 8
 	// memoryShare is the part of the memory limit that the runtime's own
 	// limit is set to; the rest is for stacks and what the kernel counts.
 	memoryShare = 0.75
@@ -69,7 +73,7 @@
 		dropped.Warn().Int("lines", missed).Msg("log lines dropped")
 	})
 	limit := &logs.Limit{PerSecond: logsPerSecond}
-	log := zerolog.New(w).With().Timestamp().Str("process", settings.Node).Logger()
+	log := zerolog.New(w).With().Timestamp().Str("process", settings.Node).Str("start_id", rand.Text()[:startDigits]).Logger().Hook(steadyTime{})
 	limit.Tell = logs.TellLeftOut(log)
 	log = log.Hook(limit)
 	dropped = zerolog.New(os.Stderr).With().Timestamp().Str("process", settings.Node).Logger()
@@ -160,6 +164,15 @@
 	p.log.Info().Bool("changed", s != p.settings).Msg("settings read again")
 }
 
+// steadyTime adds the steady clock to each line, in microseconds: the wall clock
+// may jump, and lines of one process are put in order by this one.
+type steadyTime struct{}
+
+// Run implements zerolog.Hook.
+func (steadyTime) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Int64("steady_us", sinceBoot().Microseconds())
+}
+
 // sinceBoot is a clock that goes on while the machine is suspended, unlike
 // the steady clock of package time.
 func sinceBoot() time.Duration {
--- a/cmd/persimmonrock/explain.go
+++ b/cmd/persimmonrock/explain.go
@@ -16,6 +16,7 @@
 
 	"persimmonrock.example/ops/breakdown"
 	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/ops/logtime"
 )
 
 // explainCommand reads the log files of all processes, since an engineer who
@@ -34,7 +35,9 @@
 
     persimmonrock explain -summary entry-*.log agent-*.log
 
-Times are those of each process's own clock.
+Lines are put in order by each process's steady clock and by what processes tell
+of each other, not by wall clocks, which may jump. A time marked ~ is that of a
+process that nothing but its wall clock places.
 `
 
 func runExplain(_ context.Context, args []string, stdout, stderr io.Writer) int {
@@ -117,11 +120,15 @@
 
 // logLine is one structured line.
 type logLine struct {
-	Time    int64  `json:"time"`
-	Process string `json:"process"`
-	Message string `json:"message"`
-	Job     string `json:"job"`
-	Run     string `json:"run"`
+	stamp logtime.Stamp
+	// at is where the line stands among those of all processes, in milliseconds;
+	// uncertain says that only its wall clock tells.
+	at        float64
+	uncertain bool
+	Process   string `json:"process"`
+	Message   string `json:"message"`
+	Job       string `json:"job"`
+	Run       string `json:"run"`
 	// Placements are those of a step of the job; see logs.PlacedRun.
 	Occurrence int      `json:"occurrence"`
 	Step       int      `json:"step"`
@@ -156,13 +163,17 @@
 	var names []string
 	for name := range l.fields {
 		switch name {
-		case "time", "process", "message", "level", "job":
+		case "time", "steady_us", "start_id", "process", "message", "level", "job":
 		default:
 			names = append(names, name)
 		}
 	}
 	sort.Strings(names)
-	text := fmt.Sprintf("%s %-20s %-16s", time.UnixMilli(l.Time).UTC().Format("15:04:05.000"), l.Process, l.Message)
+	mark := " "
+	if l.uncertain {
+		mark = "~"
+	}
+	text := fmt.Sprintf("%s%s%-20s %-16s", time.UnixMicro(int64(l.at*1000)).UTC().Format("15:04:05.000"), mark, l.Process, l.Message)
 	for _, name := range names {
 		text += fmt.Sprintf(" %s=%v", name, l.fields[name])
 	}
@@ -172,13 +183,18 @@
 // readStory returns the lines about id, and those that tell of gaps while it
 // lived, in the order of time.
 func readStory(id string, files []string) (lines, gaps []*logLine, err error) {
-	if err := eachLog(files, func(r io.Reader) error { return scanLog(r, id, &lines, &gaps) }); err != nil {
+	var clocks logtime.Log
+	if err := eachLog(files, func(r io.Reader) error { return scanLog(r, id, &clocks, &lines, &gaps) }); err != nil {
 		return nil, nil, err
 	}
+	axis := clocks.Axis()
+	for _, l := range slices.Concat(lines, gaps) {
+		l.at, l.uncertain = axis.Time(l.stamp), axis.Uncertain(l.stamp)
+	}
 	lines = sorted(lines)
 	if len(lines) > 0 {
-		first, last := lines[0].Time, lines[len(lines)-1].Time+gapLag.Milliseconds()
-		gaps = slices.DeleteFunc(gaps, func(l *logLine) bool { return l.Time < first || l.Time > last })
+		first, last := lines[0].at, lines[len(lines)-1].at+float64(gapLag.Milliseconds())
+		gaps = slices.DeleteFunc(gaps, func(l *logLine) bool { return l.at < first || l.at > last })
 	}
 	return lines, sorted(gaps), nil
 }
@@ -188,15 +204,17 @@
 const gapLag = 2 * time.Second
 
 func sorted(lines []*logLine) []*logLine {
-	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at < lines[j].at })
 	return lines
 }
 
 // scanLog adds the lines about id, and those that tell of gaps.
-func scanLog(r io.Reader, id string, lines, gaps *[]*logLine) error {
+func scanLog(r io.Reader, id string, clocks *logtime.Log, lines, gaps *[]*logLine) error {
 	return logs.EachObject(r, func(object []byte) {
 		var l logLine
-		if json.Unmarshal(object, &l) != nil || !l.gap() && !l.about(id) {
+		stamp, ok := clocks.Read(object)
+		l.stamp = stamp
+		if !ok || json.Unmarshal(object, &l) != nil || !l.gap() && !l.about(id) {
 			return
 		}
 		if json.Unmarshal(object, &l.fields) != nil {
--- a/ops/breakdown/breakdown.go
+++ b/ops/breakdown/breakdown.go
@@ -74,15 +74,23 @@
 	// LeftOut counts the lines that the processes left out, by message: what
 	// they would have told is missing from the figures.
 	LeftOut map[string]int
+	// Untied are the processes whose lines stand where their wall clocks put
+	// them, since no other process tells of what they tell.
+	Untied []string
 }
 
-// momentLength is the length of a moment in milliseconds.
-const momentLength = 10000
+const (
+	// momentLength is the length of a moment in milliseconds.
+	momentLength = 10000
+	// maxMoments bounds the moments, whatever times the lines bear; what is
+	// later counts in the last.
+	maxMoments = 1000
+)
 
 // Report works the log out.
 func (l *Log) Report() Report {
 	h := l.history()
-	r := Report{Over: h.over / 1000, OverFilled: h.overFilled / 1000, LeftOut: h.leftOut}
+	r := Report{Over: h.over / 1000, OverFilled: h.overFilled / 1000, LeftOut: h.leftOut, Untied: h.untied}
 	for _, j := range h.jobs {
 		if !j.fills || j.known == 0 {
 			continue
@@ -112,7 +120,7 @@
 		class = Late
 	}
 	r.ByClass[class].join(s)
-	moment := int((j.known - h.first) / momentLength)
+	moment := int(min(maxMoments-1, max(0, (j.known-h.first)/momentLength)))
 	for len(r.ByMoment) <= moment {
 		r.ByMoment = append(r.ByMoment, Sum{})
 	}
@@ -137,7 +145,9 @@
 	s.Core[c] += milliseconds / 1000 * cpu / 1000
 }
 
-// follow adds the time of j, from its end back along the slowest tasks.
+// follow adds the time of j, from its end back along the slowest tasks. Where a
+// line's time is later than that of its effect, the task's own end still bounds
+// the next step back, so that each task is met once at most.
 func (h *history) follow(j *job, s *Sum) {
 	before := math.Inf(1)
 	for {
@@ -150,7 +160,7 @@
 		}
 		opened := j.opened(t)
 		h.followTask(j, t, opened, s)
-		before = t.firstPlaced()
+		before = min(t.firstPlaced(), math.Nextafter(t.end(), 0))
 	}
 }
 
--- a/ops/breakdown/breakdown_test.go
+++ b/ops/breakdown/breakdown_test.go
@@ -1,9 +1,13 @@
 package breakdown
 
 import (
+	"fmt"
+	"io"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -155,3 +159,73 @@
 		}
 	}
 }
+
+// within fails the test if f takes longer than a whole day's log may.
+func within(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the report does not end")
+	}
+}
+
+// An agent's clock jumps back, its run's end comes before its placement, and
+// the way back from the job's end comes to the same task for ever.
+func TestReportEndsWhereTimesRunBackwards(t *testing.T) {
+	const log = `
+{"process":"entry-1","job":"j1","objective":12000,"time":10000,"message":"job known"}
+{"process":"entry-1","run":"j1.0.0.0#1","worker":"w1","time":11000,"message":"placed"}
+{"process":"agent-1","run":"j1.0.0.0#1","image":"f","fills":true,"cpu":4000,"time":8000,"message":"start"}
+{"process":"agent-1","run":"j1.0.0.0#1","how":"done","time":10500,"message":"run ended"}
+{"process":"entry-1","job":"j1","state":"completed","time":13200,"message":"job ended"}
+`
+	within(t, func() {
+		var l Log
+		if err := l.Read(strings.NewReader(log)); err != nil {
+			t.Error(err)
+		}
+		if r := l.Report(); r.ByClass[InTime].Jobs != 1 {
+			t.Errorf("%d jobs in time", r.ByClass[InTime].Jobs)
+		}
+	})
+}
+
+// Logs are cut, shuffled, and shifted by clocks that jump either way: whatever
+// the lines say, the report ends and can be printed.
+func FuzzReportOfDisorderedLogs(f *testing.F) {
+	for seed := range uint64(20) {
+		f.Add(seed, int64(seed)*1000)
+	}
+	f.Add(uint64(3), int64(math.MaxInt64/2))
+	f.Fuzz(func(t *testing.T, seed uint64, most int64) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		lines := strings.Split(strings.TrimSpace(sampleLog+stepLog), "\n")
+		rng.Shuffle(len(lines), func(i, k int) { lines[i], lines[k] = lines[k], lines[i] })
+		lines = lines[:rng.IntN(len(lines))+1]
+		for i, l := range lines {
+			if before, rest, ok := strings.Cut(l, `"time":`); ok {
+				shift := (rng.Float64() - 0.5) * float64(most)
+				lines[i] = fmt.Sprintf(`%s"steady_us":%f,"time":%f,"was":%s`, before, shift*rng.Float64(), shift, rest)
+			}
+			if rng.IntN(10) == 0 {
+				lines[i] = l[:rng.IntN(len(l)+1)]
+			}
+		}
+		within(t, func() {
+			var l Log
+			if err := l.Read(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+				t.Error(err)
+			}
+			r := l.Report()
+			if err := r.Print(io.Discard); err != nil {
+				t.Error(err)
+			}
+		})
+	})
+}
--- a/ops/breakdown/jobs.go
+++ b/ops/breakdown/jobs.go
@@ -6,11 +6,13 @@
 	"slices"
 
 	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/ops/logtime"
 )
 
 // Log is what was read of all log files.
 type Log struct {
-	lines []line
+	lines  []line
+	clocks logtime.Log
 }
 
 // run is one run of a task; times are in milliseconds, 0 where not known.
@@ -70,11 +72,17 @@
 	first            float64
 	// leftOut counts the lines that processes left out, by message.
 	leftOut map[string]int
+	// untied are the processes that nothing but their wall clock places.
+	untied []string
 }
 
 func (l *Log) history() *history {
+	axis := l.clocks.Axis()
+	for i := range l.lines {
+		l.lines[i].Time = axis.Time(l.lines[i].stamp)
+	}
 	slices.SortStableFunc(l.lines, func(a, b line) int { return cmp.Compare(a.Time, b.Time) })
-	h := &history{jobs: map[string]*job{}, paces: map[paceKey][]paceChange{}, first: math.Inf(1), leftOut: map[string]int{}}
+	h := &history{jobs: map[string]*job{}, paces: map[paceKey][]paceChange{}, first: math.Inf(1), leftOut: map[string]int{}, untied: axis.Untied()}
 	for i := range l.lines {
 		h.take(&l.lines[i])
 	}
--- a/ops/breakdown/print.go
+++ b/ops/breakdown/print.go
@@ -13,6 +13,9 @@
 	for _, message := range slices.Sorted(maps.Keys(r.LeftOut)) {
 		fmt.Fprintf(w, "the log has gaps: %d lines %q were left out\n", r.LeftOut[message], message)
 	}
+	for _, name := range r.Untied {
+		fmt.Fprintf(w, "the clock of %s is tied to no other: its lines stand where its wall clock puts them\n", name)
+	}
 	fmt.Fprintf(w, "jobs with filling work: %d in time, %d late, %d overdue, %d failed, %d cancelled, %d not ended\n\n",
 		r.ByClass[InTime].Jobs, r.ByClass[Late].Jobs, r.ByClass[Overdue].Jobs, r.Failed, r.Cancelled, r.Unfinished)
 	fmt.Fprintf(w, "serving tasks were over their targets for %.1f s, %.1f s of it beside filling work\n\n", r.Over, r.OverFilled)
--- a/ops/breakdown/read.go
+++ b/ops/breakdown/read.go
@@ -7,10 +7,12 @@
 	"strings"
 
 	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/ops/logtime"
 )
 
 // line is what is read of a structured line; times are in milliseconds.
 type line struct {
+	stamp     logtime.Stamp
 	Time      float64 `json:"time"`
 	Process   string  `json:"process"`
 	Message   string  `json:"message"`
@@ -42,7 +44,9 @@
 func (l *Log) Read(r io.Reader) error {
 	return logs.EachObject(r, func(object []byte) {
 		var one line
-		if json.Unmarshal(object, &one) == nil {
+		stamp, ok := l.clocks.Read(object)
+		if ok && json.Unmarshal(object, &one) == nil {
+			one.stamp = stamp
 			l.lines = append(l.lines, one)
 		}
 	})
--- /dev/null
+++ b/ops/logtime/logtime.go
@@ -0,0 +1,309 @@
+// Package logtime puts the lines of several processes' logs on one time axis.
+// Clocks of different machines are not compared where that can be helped: a
+// wall clock may be wrong and may jump. Each line carries its process's own
+// steady clock, and what one process logs as the cause of what another logs
+// bounds how the two clocks lie to each other.
+package logtime
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"persimmonrock.example/ops/logs"
+)
+
+// Stamp is when a process wrote a line, on its own clock, in milliseconds.
+type Stamp struct {
+	source int
+	at     float64
+}
+
+// object is what is read of a line.
+type object struct {
+	Process string `json:"process"`
+	// Start names one start of the process: each has a steady clock of its own.
+	Start string `json:"start_id"`
+	// Wall is in milliseconds, Steady in microseconds.
+	Wall    float64  `json:"time"`
+	Steady  *float64 `json:"steady_us"`
+	Message string   `json:"message"`
+
+	Job        string          `json:"job"`
+	Run        string          `json:"run"`
+	Occurrence int             `json:"occurrence"`
+	Step       int             `json:"step"`
+	Last       int             `json:"last"`
+	Placements []string        `json:"placements"`
+	Ran        *float64        `json:"ran"`
+	Took       float64         `json:"took"`
+	Epoch      uint64          `json:"epoch"`
+	Version    json.RawMessage `json:"version"`
+}
+
+// source is one start of a process.
+type source struct {
+	name string
+	// wall holds how far the wall clock was ahead of the steady one.
+	wall []float64
+	// steady is false if the lines carry the wall clock alone.
+	steady bool
+}
+
+// event is one thing that processes tell of: some as its cause, some as its
+// effect. Of each process the first line counts.
+type event struct {
+	causes, effects map[int]float64
+}
+
+// Log collects the stamps of all lines.
+type Log struct {
+	sources []*source
+	index   map[string]int
+	events  map[string]*event
+}
+
+// Read takes one line.
+func (l *Log) Read(line []byte) (Stamp, bool) {
+	var o object
+	if json.Unmarshal(line, &o) != nil {
+		return Stamp{}, false
+	}
+	s := l.source(&o)
+	at := o.Wall
+	if o.Steady != nil {
+		at = *o.Steady / 1000
+		l.sources[s].wall = append(l.sources[s].wall, o.Wall-at)
+	}
+	l.takeEvents(s, at, &o)
+	return Stamp{source: s, at: at}, true
+}
+
+func (l *Log) source(o *object) int {
+	if l.index == nil {
+		l.index, l.events = map[string]int{}, map[string]*event{}
+	}
+	name := o.Process
+	if o.Steady != nil {
+		name += " " + o.Start
+	}
+	s, ok := l.index[name]
+	if !ok {
+		s = len(l.sources)
+		l.index[name] = s
+		l.sources = append(l.sources, &source{name: name, steady: o.Steady != nil})
+	}
+	return s
+}
+
+// takeEvents notes what the line tells of that another process tells of, too.
+func (l *Log) takeEvents(s int, at float64, o *object) {
+	switch o.Message {
+	case "placed":
+		l.cause("start "+o.Run, s, at)
+		for _, placed := range o.Placements {
+			if p, ok := logs.ParsePlacedRun(placed); ok {
+				l.cause("start "+p.Name(o.Job, o.Occurrence, o.Step), s, at)
+			}
+		}
+	case "start":
+		l.effect("start "+o.Run, s, at)
+	case "run ended":
+		if o.Ran != nil {
+			l.effect("end "+o.Run, s, at)
+			return
+		}
+		l.cause("end "+o.Run, s, at)
+		task, _, _ := strings.Cut(o.Run, "#")
+		l.cause("done "+task, s, at)
+	case "step done":
+		l.effect("done "+o.Job+"."+strconv.Itoa(o.Occurrence)+"."+strconv.Itoa(o.Step)+"."+strconv.Itoa(o.Last), s, at)
+	case "job handed in":
+		l.cause("job "+o.Job, s, at-o.Took)
+	case "job known":
+		l.effect("job "+o.Job, s, at)
+	case "lease taken":
+		l.cause("epoch "+strconv.FormatUint(o.Epoch, 10), s, at)
+	case "new scheduler":
+		l.effect("epoch "+strconv.FormatUint(o.Epoch, 10), s, at)
+	case "scheduler known":
+		l.effect("epoch "+string(o.Version), s, at)
+	}
+}
+
+func (l *Log) event(key string) *event {
+	e := l.events[key]
+	if e == nil {
+		e = &event{causes: map[int]float64{}, effects: map[int]float64{}}
+		l.events[key] = e
+	}
+	return e
+}
+
+func (l *Log) cause(key string, s int, at float64) {
+	if e := l.event(key); !has(e.causes, s) {
+		e.causes[s] = at
+	}
+}
+
+func (l *Log) effect(key string, s int, at float64) {
+	if e := l.event(key); !has(e.effects, s) {
+		e.effects[s] = at
+	}
+}
+
+func has(m map[int]float64, s int) bool {
+	_, ok := m[s]
+	return ok
+}
+
+// Axis is the time on which the lines of all processes stand, in milliseconds
+// of the wall clock of the process that ties in most others.
+type Axis struct {
+	offsets []float64
+	// untied are the processes whose place follows from their wall clock.
+	untied map[int]bool
+	names  []string
+}
+
+// Time is where a line stands.
+func (a *Axis) Time(s Stamp) float64 { return s.at + a.offsets[s.source] }
+
+// Uncertain reports whether the line's place against other processes is only
+// that of its wall clock.
+func (a *Axis) Uncertain(s Stamp) bool { return a.untied[s.source] }
+
+// Untied names the processes whose lines are so.
+func (a *Axis) Untied() []string {
+	var names []string
+	for s := range a.untied {
+		names = append(names, a.names[s])
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Axis works the axis out from what was read so far.
+func (l *Log) Axis() *Axis {
+	a := &Axis{offsets: make([]float64, len(l.sources)), untied: map[int]bool{}}
+	for _, s := range l.sources {
+		a.names = append(a.names, s.name)
+	}
+	bounds := l.bounds()
+	placed := make([]bool, len(l.sources))
+	for i, s := range l.sources {
+		a.offsets[i] = s.wallOffset()
+		// Lines without a steady clock stay where their wall clock has them.
+		placed[i] = !s.steady
+	}
+	for {
+		first := l.reference(bounds, placed)
+		if first < 0 {
+			return a
+		}
+		if a.tieNext(first, bounds, placed) == 0 && len(l.sources) > 1 {
+			a.untied[first] = true
+		}
+	}
+}
+
+// reference is the process not placed yet that has most to do with others, or
+// -1.
+func (l *Log) reference(bounds []map[int]bound, placed []bool) int {
+	best := -1
+	for i := range placed {
+		if !placed[i] && (best < 0 || len(bounds[i]) > len(bounds[best])) {
+			best = i
+		}
+	}
+	return best
+}
+
+// tieNext places first by its wall clock, and all processes that are tied to
+// it, one after the other, those that are known best first. It returns how many
+// those are.
+func (a *Axis) tieNext(first int, bounds []map[int]bound, placed []bool) int {
+	placed[first] = true
+	tree := []int{first}
+	for {
+		from, to := -1, -1
+		var best bound
+		for _, f := range tree {
+			for t, b := range bounds[f] {
+				if placed[t] || to >= 0 && (b.width() > best.width() || b.width() == best.width() && t > to) {
+					continue
+				}
+				from, to, best = f, t, b
+			}
+		}
+		if to < 0 {
+			return len(tree) - 1
+		}
+		if best.open() {
+			a.untied[to] = true
+			best.closeAt(a.offsets[to] - a.offsets[from])
+		}
+		a.offsets[to] = a.offsets[from] + best.middle()
+		placed[to] = true
+		tree = append(tree, to)
+	}
+}
+
+// wallOffset is what the steady clock lacks to the wall clock, most of the
+// time: a clock that jumps comes back.
+func (s *source) wallOffset() float64 {
+	if len(s.wall) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(s.wall)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
+
+// bound is where the difference of two processes' offsets lies.
+type bound struct{ low, high float64 }
+
+// open reports whether one side is not known.
+func (b bound) open() bool { return math.IsInf(b.low, 0) || math.IsInf(b.high, 0) }
+
+// closeAt sets both sides to what is nearest to x within the bound.
+func (b *bound) closeAt(x float64) {
+	x = min(b.high, max(b.low, x))
+	b.low, b.high = x, x
+}
+
+func (b bound) width() float64 { return math.Abs(b.high - b.low) }
+
+func (b bound) middle() float64 { return (b.low + b.high) / 2 }
+
+// bounds lists for each process what is known of the others' offsets less its
+// own: an effect is never earlier than its cause.
+func (l *Log) bounds() []map[int]bound {
+	all := make([]map[int]bound, len(l.sources))
+	for i := range all {
+		all[i] = map[int]bound{}
+	}
+	for _, e := range l.events {
+		for c, causedAt := range e.causes {
+			for f, at := range e.effects {
+				if c != f && l.sources[c].steady && l.sources[f].steady {
+					narrow(all, c, f, causedAt-at)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// narrow notes that the offset of f less that of c is least or more.
+func narrow(all []map[int]bound, c, f int, least float64) {
+	b, ok := all[c][f]
+	if !ok {
+		b = bound{math.Inf(-1), math.Inf(1)}
+	}
+	b.low = max(b.low, least)
+	all[c][f] = b
+	all[f][c] = bound{-b.high, -b.low}
+}
