Transactions whose answer is lost are settled by a look at their row

The row of the condition tells what became of it: if its version has changed, the transaction has been carried out or never will be, and callers already tell which by what the row holds. If it hasn't, and the look was answered within 0.1 s, another attempt goes out under the same condition. A caller that gives up is told that the outcome is not known.

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -14,6 +14,7 @@
 	"persimmonrock.example/entry/relay"
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/infra/policy"
+	"persimmonrock.example/infra/rowstore/settle"
 	"persimmonrock.example/platform/front"
 	"persimmonrock.example/platform/operator"
 	policyclient "persimmonrock.example/platform/policy"
@@ -51,7 +52,8 @@
 	ctx, cancel := p.stopSignal(ctx)
 	defer cancel()
 	direct := store.New(p.settings.StoreAddress)
-	rows := relay.New(direct, p.peerAddress(), dispatch.NewLink, p.log)
+	around := relay.New(direct, p.peerAddress(), dispatch.NewLink, p.log)
+	rows := settle.New(around)
 	clock := intake.NewStoreClock(sinceBoot)
 	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
 	counters := &scheduler.Counters{}
@@ -64,7 +66,7 @@
 	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
 		return err
 	}
-	if err := server.RegisterName("Relay", rows.Service()); err != nil {
+	if err := server.RegisterName("Relay", around.Service()); err != nil {
 		return err
 	}
 	if err := p.servePeers(server); err != nil {
@@ -80,11 +82,11 @@
 	p.serveMetrics(map[string]func() any{
 		"intake":    func() any { return service.Counters.Figures() },
 		"scheduler": func() any { return counters.Figures() },
-		"store":     func() any { return map[string]int64{"calls": direct.Calls(), "relayed": rows.Relayed()} },
+		"store":     func() any { return map[string]int64{"calls": direct.Calls(), "relayed": around.Relayed()} },
 	})
 	p.log.Info().Str("clients", p.settings.ClientListen).Str("peers", p.peerAddress()).Msg("entry started")
 	// The configuration is followed while open calls are still answered.
-	go rows.Run(context.WithoutCancel(ctx), p.settings.Node)
+	go around.Run(context.WithoutCancel(ctx), p.settings.Node)
 	go config.Run(context.WithoutCancel(ctx))
 	elector.Run(ctx)
 	go elector.Follow(context.WithoutCancel(ctx))
--- /dev/null
+++ b/infra/rowstore/settle/settle_test.go
@@ -0,0 +1,120 @@
+package settle
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/infra/rowstore/memstore"
+)
+
+var key = rowstore.Key{Table: "t", Part: "p", Key: "k"}
+
+// txn writes value if the row has the version.
+func txn(version uint64, value string) rowstore.Txn {
+	return rowstore.Txn{
+		Conds: []rowstore.Cond{{Key: key, Version: version}},
+		Puts:  []rowstore.Put{{Key: key, Value: []byte(value)}},
+	}
+}
+
+// play runs a story over a store whose usual times are known.
+func play(t *testing.T, story func(t *testing.T, faulty *memstore.Store, s *Store, version uint64)) {
+	synctest.Test(t, func(t *testing.T) {
+		faulty := memstore.New(1)
+		s := New(faulty.Client("c"))
+		version := uint64(0)
+		for range 20 {
+			at, err := s.Apply(t.Context(), txn(version, "before"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			version = at.Version
+		}
+		story(t, faulty, s, version)
+		time.Sleep(time.Minute)
+	})
+}
+
+// The transaction is carried out and its answer is lost: the caller learns what
+// the row holds long before the time-out.
+func TestLostAnswerIsFoundByALook(t *testing.T) {
+	play(t, func(t *testing.T, faulty *memstore.Store, s *Store, version uint64) {
+		faulty.SetLost(1, false)
+		begun := time.Now()
+		_, err := s.Apply(t.Context(), txn(version, "mine"))
+		var conflict *rowstore.ConflictError
+		if !errors.As(err, &conflict) || string(conflict.Find(key).Value) != "mine" {
+			t.Errorf("answer %v", err)
+		}
+		if took := time.Since(begun); took > 2*leastPatience {
+			t.Errorf("after %v", took)
+		}
+	})
+}
+
+// The transaction is lost on its way and would land seconds later: another
+// attempt takes effect, and the late one none.
+func TestLateTransactionIsOvertaken(t *testing.T) {
+	play(t, func(t *testing.T, faulty *memstore.Store, s *Store, version uint64) {
+		faulty.SetLost(1, true)
+		time.AfterFunc(leastPatience, func() { faulty.SetLost(0, false) })
+		begun := time.Now()
+		at, err := s.Apply(t.Context(), txn(version, "mine"))
+		if err != nil || at.Version == version {
+			t.Fatalf("%+v, %v", at, err)
+		}
+		if took := time.Since(begun); took > 2*leastPatience {
+			t.Errorf("after %v", took)
+		}
+		time.Sleep(10 * time.Second)
+		if row, err := rowstore.Get(t.Context(), s, key); err != nil || row.Version != at.Version {
+			t.Errorf("the row has version %d later, not %d: %v", row.Version, at.Version, err)
+		}
+	})
+}
+
+// A slow store got several times the work, since each missing answer was taken
+// for a lost one.
+func TestSlowStoreGetsNoSecondAttempt(t *testing.T) {
+	play(t, func(t *testing.T, faulty *memstore.Store, s *Store, version uint64) {
+		faulty.SetSlow(60)
+		_, before := faulty.Calls()
+		if _, err := s.Apply(t.Context(), txn(version, "mine")); err != nil {
+			t.Fatal(err)
+		}
+		if _, after := faulty.Calls(); after != before+1 {
+			t.Errorf("%d attempts", after-before)
+		}
+	})
+}
+
+// A caller gives up while an attempt is under way, and is told that nothing was
+// done.
+func TestGivenUpCallMayTakeEffect(t *testing.T) {
+	play(t, func(t *testing.T, faulty *memstore.Store, s *Store, version uint64) {
+		faulty.SetSlow(60)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		if _, err := s.Apply(ctx, txn(version, "mine")); !errors.Is(err, rowstore.ErrUnknown) {
+			t.Errorf("answer %v", err)
+		}
+	})
+}
+
+// The store turns everybody away: that nothing was done is passed on at once.
+func TestRefusalIsPassedOn(t *testing.T) {
+	play(t, func(t *testing.T, faulty *memstore.Store, s *Store, version uint64) {
+		faulty.SetFault("", memstore.Refused)
+		begun := time.Now()
+		if _, err := s.Apply(t.Context(), txn(version, "mine")); !errors.Is(err, rowstore.ErrUnavailable) {
+			t.Errorf("answer %v", err)
+		}
+		if took := time.Since(begun); took > leastPatience {
+			t.Errorf("after %v", took)
+		}
+	})
+}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -24,6 +24,7 @@
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/infra/rowstore/settle"
 	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/structs/workload"
@@ -340,7 +341,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	log := w.logOf(e.Node).With().Int("start", e.count).Logger()
 	direct := &cutStore{Store: w.Store.Client(e.Node), world: w, node: e.Node}
-	rows := relay.New(direct, e.Node, w.link(e.Node), log)
+	around := relay.New(direct, e.Node, w.link(e.Node), log)
+	rows := settle.New(around)
 	clock := intake.NewStoreClock(w.now)
 	config := intake.NewFollower(rows, noConfig, log, clock)
 	elector := scheduler.NewElector(scheduler.Config{
@@ -351,11 +353,11 @@
 	service := intake.New(rows, config, elector, clock, log)
 	server := rpc.NewServer()
 	must(server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}))
-	must(server.RegisterName("Relay", rows.Service()))
+	must(server.RegisterName("Relay", around.Service()))
 	w.listen(e.Node, server)
 	p := &entryProcess{cancel: cancel, service: service, elector: elector, done: make(chan struct{})}
 	e.process = p
-	go rows.Run(ctx, e.Node)
+	go around.Run(ctx, e.Node)
 	go config.Run(ctx)
 	go func() {
 		defer close(p.done)
