Filling work counts on what serving tasks are seen to leave

Hypothesis: a fixed part (0.45) of what serving tasks reserve leaves processors idle while they have little to do, and takes them over their targets when they have much.

Change: the scheduler follows each serving job's own load from all its workers' samples, and lets filling work count on what it leaves, up to where filling work, taken as a whole, brings a task to its own target. The weight of pairs that do not press is fitted to all of them together (Model.Light).

The placement test's cases give the leftover, which was a constant inside.

--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -9,6 +9,8 @@
 	Capacity workload.Resources
 	// Free is the counted room that is left.
 	Free workload.Resources
+	// Leftover is the reserved CPU that filling tasks may count on being unused.
+	Leftover int
 	// FillLoad is the CPU that the filling tasks there use or will.
 	FillLoad int
 	// Pressed holds, for a filling step, the load that the filling tasks
@@ -53,10 +55,6 @@
 	Rack string
 }
 
-// fillShare is the part of the reserved CPU that filling work may count on
-// being unused. Lasting tasks use about four tenths of what they ask for.
-const fillShare = 0.45
-
 // Weights of the score. Room is a share of the capacity, 0 to 1; the others
 // outweigh it in the order given.
 const (
@@ -116,10 +114,9 @@
 	return s.Need.Fits(w.Capacity) && (s.Label == "" || contains(w.Labels, s.Label))
 }
 
-// unused is the CPU that filling work may expect.
+// unused is the CPU that filling tasks may expect.
 func unused(w *Candidate) int {
-	reserved := w.Capacity.CPU - w.Free.CPU
-	return w.Free.CPU + int(fillShare*float64(reserved))
+	return w.Free.CPU + w.Leftover
 }
 
 func score(r Request, i int, w *Candidate) float64 {
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -57,8 +57,8 @@
 			change(func(c *Candidate) { c.Serving = 2; c.Mix = 1 }), change(func(c *Candidate) { c.Serving = 2; c.SameImage = true }),
 		}, 1},
 		{"others beside serving tasks", plain, -1, []Candidate{worker(), change(func(c *Candidate) { c.Serving = 1; c.Free.CPU = 9000 })}, 1},
-		{"filling work needs no counted room", fills, -1, []Candidate{change(func(c *Candidate) { c.Free.CPU = 0 })}, 0},
-		{"but unused processor time", fills, -1, []Candidate{change(func(c *Candidate) { c.Free.CPU = 0; c.FillLoad = 7000 })}, -1},
+		{"filling work needs no counted room", fills, -1, []Candidate{change(func(c *Candidate) { c.Free.CPU = 0; c.Leftover = 7200 })}, 0},
+		{"but unused processor time", fills, -1, []Candidate{change(func(c *Candidate) { c.Free.CPU = 0; c.Leftover = 7200; c.FillLoad = 7000 })}, -1},
 		{"filling work away from what it presses on", fills, -1, []Candidate{
 			change(func(c *Candidate) { c.Serving = 2; c.Pressed = 0.4 }), change(func(c *Candidate) { c.Serving = 2; c.FillLoad = 8000 }),
 		}, 1},
--- a/decide/pressure/model.go
+++ b/decide/pressure/model.go
@@ -68,6 +68,8 @@
 	serving map[string]*equations
 	// version counts solutions.
 	version uint64
+	// light is the weight of pairs that do not press, all taken together.
+	light float64
 	// differences are those that were asked for since the last solution.
 	differences map[[2]string]difference
 }
@@ -132,6 +134,7 @@
 		}
 	}
 	m.join()
+	m.light = m.lightWeight()
 	clear(m.differences)
 	m.version++
 }
--- a/entry/scheduler/health_test.go
+++ b/entry/scheduler/health_test.go
@@ -74,7 +74,7 @@
 		{"cleared since", step(500, ""), []workload.Resources{large}, func(ws []*worker) { ws[0].health.failing = nil }, false},
 	}
 	for _, c := range cases {
-		v := &view{now: time.Hour}
+		v := &view{now: time.Hour, learner: &learner{}}
 		for i, r := range append([]workload.Resources{large}, c.others...) {
 			w := newWorker(workload.WorkerID(rune('a'+i)), "node")
 			w.alive, w.info.Service, w.info.Capacity = true, "s", r
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -51,6 +51,7 @@
 	base map[string]float64
 	// latest is the last sample of each worker.
 	latest map[workload.WorkerID]timedSample
+	own    ownLoads
 	table  *weightTable
 	trials trials
 }
@@ -66,6 +67,7 @@
 func (l *learner) begin() {
 	if l.latest == nil {
 		l.latest = map[workload.WorkerID]timedSample{}
+		l.own = ownLoads{}
 		l.base = map[string]float64{}
 	}
 }
@@ -87,11 +89,13 @@
 	}
 	for _, v := range s.Serving {
 		l.compare(v, w.id, this)
+		l.takeOwn(v, this)
 	}
 	l.latest[w.id] = this
 	if now-l.solved >= solveEvery {
 		l.model.Solve(min(now-l.solved, maxFade))
 		l.solved = now
+		l.forgetOwn(now)
 	}
 }
 
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -39,6 +39,7 @@
 	service    string
 	candidates []placement.Candidate
 	now        time.Duration
+	learner    *learner
 	// barred lists the candidates that are barred for the step that is planned.
 	barred []int
 	// pressure is worked out when the first filling step is planned.
@@ -48,7 +49,7 @@
 }
 
 func (t *Term) newView() *view {
-	v := &view{now: t.deps.Now()}
+	v := &view{now: t.deps.Now(), learner: &t.learner}
 	for _, w := range t.workers {
 		if w.alive {
 			v.workers = append(v.workers, w)
@@ -69,7 +70,9 @@
 	}
 	v.candidates = v.candidates[:0]
 	for _, w := range v.workers {
-		v.candidates = append(v.candidates, w.candidate(service, v.now))
+		c := w.candidate(service, v.now)
+		c.Leftover = v.learner.leftover(w, v.now)
+		v.candidates = append(v.candidates, c)
 	}
 	v.shunSuspects()
 }
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -69,7 +69,9 @@
 	counted workload.Resources
 	fill    int
 	serves  bool
-	image   string
+	// target is the bound of a serving task's tail.
+	target time.Duration
+	image  string
 }
 
 func newWorker(id workload.WorkerID, agent string) *worker {
@@ -81,7 +83,7 @@
 	if _, ok := w.runs[r]; ok {
 		return
 	}
-	v := reservation{counted: s.Reserved(), serves: s.TailTarget > 0, image: s.Image}
+	v := reservation{counted: s.Reserved(), serves: s.TailTarget > 0, target: s.TailTarget, image: s.Image}
 	if s.Fills {
 		v.fill = s.Need.CPU
 	}
