--- a/entry/scheduler/drain.go
+++ b/entry/scheduler/drain.go
@@ -33,7 +33,11 @@
 	drains, age := t.deps.Drains()
 	if blind := age > drainsFresh; blind != t.blind {
 		t.blind = blind
-		t.deps.Log.Warn().Bool("paused", blind).Dur("age", age).Msg("placing by the drains known")
+		message := "placing goes on"
+		if blind {
+			message = "placing pauses: which data centres are drained is not known"
+		}
+		t.deps.Log.Warn().Dur("age", age).Msg(message)
 	}
 	changed := drains.Version > t.drains.Version
 	if changed {
@@ -43,7 +47,6 @@
 		}
 		t.deps.Log.Info().Strs("data_centres", drains.Names()).Int("workers_left", t.openWorkers()).Msg("drains in force")
 	}
-	t.countDrained()
 	return changed
 }
 
--- a/entry/scheduler/learner.go
+++ b/entry/scheduler/learner.go
@@ -51,7 +51,8 @@
 	base map[string]float64
 	// latest is the last sample of each worker.
 	latest map[workload.WorkerID]timedSample
-	own    ownLoads
+	// own is the own load of each serving job.
+	own    map[workload.JobID]ownLoad
 	table  *weightTable
 	trials trials
 }
@@ -67,7 +68,7 @@
 func (l *learner) begin() {
 	if l.latest == nil {
 		l.latest = map[workload.WorkerID]timedSample{}
-		l.own = ownLoads{}
+		l.own = map[workload.JobID]ownLoad{}
 		l.base = map[string]float64{}
 	}
 }
--- a/entry/scheduler/leftover.go
+++ b/entry/scheduler/leftover.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"persimmonrock.example/decide/pressure"
-	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -88,12 +87,10 @@
 // bears is the share of a worker that may be filled beside a serving task that
 // carries the load by itself.
 func (l *learner) bears(v reservation, load float64) float64 {
-	most := 1 - l.base[v.image]/float64(v.target.Milliseconds())
+	// Tails are in milliseconds.
+	most := 1 - l.base[v.image]/(1000*v.target.Seconds())
 	return max(0, most-load) / max(leastLight, l.model.Light())
 }
 
 // leastLight bounds the share from above where filling work hardly presses.
 const leastLight = 0.05
-
-// ownLoads are the own loads of serving jobs.
-type ownLoads map[workload.JobID]ownLoad
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -39,7 +39,8 @@
 	service    string
 	candidates []placement.Candidate
 	now        time.Duration
-	learner    *learner
+	// learner tells what serving tasks leave unused.
+	learner *learner
 	// barred lists the candidates that are barred for the step that is planned.
 	barred []int
 	// pressure is worked out when the first filling step is planned.
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -156,6 +156,7 @@
 	group.Wait()
 	t.deps.Counters.Agents.Store(0)
 	t.deps.Counters.AgentsHeard.Store(0)
+	t.deps.Counters.Drains.Store(nil)
 }
 
 // wakeUp asks the commit loop for a plan.
@@ -190,6 +191,7 @@
 		changed = t.leaveDrained() || changed
 		changed = t.regroup() || changed
 		t.countAgents()
+		t.countDrained()
 		t.mu.Unlock()
 		if changed {
 			t.wakeUp()
