The end of a drain reaches agents whose entries were all away

Found on reading the change: an entry that starts reads all rows of the operator and finds no drain, which changes nothing for it, so it kept the version 0 of what it knows, and a claim of version 0 tells an agent nothing. An agent that had heard of a drain from an entry that ended since would refuse all starts for ever. A list now counts as newer whatever it says.

TestDrainThatEndsWhileNobodyListens: red before ('nothing starts there any more'), green now.

--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -132,7 +132,9 @@
 	f.heard.Store(int64(asked))
 }
 
-// takeDrains takes the changes of the drains, or all of them from a list.
+// takeDrains takes the changes of the drains, or all of them from a list. A list
+// counts as newer even if it changes nothing here: agents may have heard of a
+// drain from another process that ended since.
 func (f *Follower) takeDrains(rows []rowstore.Row, at rowstore.Stamp, changes bool) {
 	if f.source.Drained == nil {
 		return
@@ -160,10 +162,14 @@
 			next.DataCentres[name] = true
 		}
 	}
-	if maps.Equal(before.DataCentres, next.DataCentres) {
+	same := maps.Equal(before.DataCentres, next.DataCentres)
+	if same && changes {
 		return
 	}
 	f.drains.Store(&next)
+	if same {
+		return
+	}
 	f.log.Info().Strs("data_centres", next.Names()).Uint64("version", next.Version).Msg("drained data centres")
 }
 
--- a/sessions/machines/drain_test.go
+++ b/sessions/machines/drain_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// A drain is taken back while every entry is down. The agents have heard of it,
+// and refuse all starts for ever, since the entries that come back know of none.
+func TestDrainThatEndsWhileNobodyListens(t *testing.T) {
+	play(t, Options{Entries: 2, Machines: 4, DataCentres: 2}, func(t *testing.T, w *World, c *Client) {
+		w.Drain(drained, true)
+		busy(t, c, 1, second)
+		for _, e := range w.Entries() {
+			e.Kill()
+		}
+		w.Drain(drained, false)
+		time.Sleep(second)
+		w.StartAll()
+		busy(t, c, 10, 4*second)
+		if w.runningIn(drained) == 0 {
+			t.Error("nothing starts there any more")
+		}
+	})
+}
+
 // No entry can read the operator's rows, and the scheduler goes on placing by
 // what it knew before the drain.
 func TestSchedulerThatCanNotReadDrainsStopsPlacing(t *testing.T) {
