--- /dev/null
+++ b/entry/scheduler/rank.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/decide/order"
+)
+
+// objective is the time within which the client expects the job to end, by its
+// own estimates; 0 for jobs that last or repeat, which have none.
+func (j *job) objective() time.Duration {
+	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
+		return 0
+	}
+	took := make([]time.Duration, len(j.spec.Steps))
+	for i := range took {
+		took[i] = j.spec.Steps[i].Estimate
+	}
+	return order.Objective(j.queue, order.Chain(j.spec.Steps, took, func(int) bool { return false }))
+}
+
+// rank is the job's place in the order now.
+func (t *Term) rank(j *job, now time.Duration) order.Key {
+	accepted := time.Duration(j.spec.Accepted) * time.Millisecond
+	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
+		return order.Key{Priority: j.queue.Priority, By: accepted}
+	}
+	took := j.expected()
+	whole := order.Chain(j.spec.Steps, took, func(int) bool { return false })
+	left := whole
+	if len(j.occurrences) > 0 {
+		o := j.occurrences[0]
+		left = order.Chain(j.spec.Steps, took, func(i int) bool { return o.steps[i].complete() })
+	}
+	key := order.Rank(j.queue, accepted, now, whole, left)
+	if len(j.occurrences) > 0 {
+		o := j.occurrences[0]
+		key.Work = order.Work(j.spec.Steps, took, func(i int) int { return len(o.steps[i].tasks) - o.steps[i].done })
+	}
+	return key
+}
+
+// expected is how long the tasks of each step of the job are expected to take:
+// as estimated, until some of the step's own have ended.
+func (j *job) expected() []time.Duration {
+	timed := j.timedTasks()
+	if len(j.took) > 0 && timed == j.timed {
+		return j.took
+	}
+	j.timed = timed
+	j.took = j.took[:0]
+	for i := range j.spec.Steps {
+		d := j.spec.Steps[i].Estimate
+		if len(j.occurrences) > 0 {
+			s := j.occurrences[0].steps[i]
+			d = order.Known(d, s.took, s.timed)
+		}
+		j.took = append(j.took, d)
+	}
+	return j.took
+}
+
+// timedTasks counts the tasks of the job's first occurrence of which it is
+// known how long they took.
+func (j *job) timedTasks() int {
+	if len(j.occurrences) == 0 {
+		return 0
+	}
+	timed := 0
+	for _, s := range j.occurrences[0].steps {
+		timed += s.timed
+	}
+	return timed
+}
--- /dev/null
+++ b/entry/scheduler/view.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"persimmonrock.example/decide/placement"
+	"persimmonrock.example/structs/workload"
+)
+
+// view is the workers in a fixed order, as the placement sees them. It is
+// kept up to date as a plan goes on.
+type view struct {
+	workers    []*worker
+	service    string
+	candidates []placement.Candidate
+	now        time.Duration
+	// learner tells what serving tasks leave unused.
+	learner *learner
+	// barred lists the candidates that are barred for the step that is planned.
+	barred []int
+	// pressure is worked out when the first filling step is planned.
+	pressure []workerPressure
+	// placed lists what was placed of the step that is planned.
+	placed placements
+}
+
+func (t *Term) newView() *view {
+	v := &view{now: t.deps.Now(), learner: &t.learner}
+	for _, w := range t.workers {
+		if w.alive {
+			v.workers = append(v.workers, w)
+		}
+	}
+	sort.Slice(v.workers, func(i, k int) bool { return v.workers[i].id < v.workers[k].id })
+	return v
+}
+
+// serve prepares the candidates of a service.
+func (v *view) serve(service string) {
+	if v.service == service && v.candidates != nil {
+		return
+	}
+	v.service = service
+	if v.candidates == nil {
+		v.candidates = make([]placement.Candidate, 0, len(v.workers))
+	}
+	v.candidates = v.candidates[:0]
+	for _, w := range v.workers {
+		c := w.candidate(service, v.now)
+		c.Leftover = v.learner.leftover(w, v.now)
+		v.candidates = append(v.candidates, c)
+	}
+	v.shunSuspects()
+}
+
+// busy is the part of the candidates' CPU that is counted as taken.
+func (v *view) busy() float64 {
+	taken, whole := 0, 0
+	for i := range v.candidates {
+		if c := &v.candidates[i]; !c.Barred {
+			taken += c.Capacity.CPU - c.Free.CPU
+			whole += c.Capacity.CPU
+		}
+	}
+	if whole == 0 {
+		return 1
+	}
+	return float64(taken) / float64(whole)
+}
+
+// countStep sets how many tasks of s each candidate has.
+func (v *view) countStep(s *step) {
+	for i := range v.candidates {
+		v.candidates[i].OfStep = 0
+	}
+	if s.spec.Spread == 0 && !s.spec.Coupled {
+		return
+	}
+	for i := range s.tasks {
+		if s.tasks[i].state != taskPlaced {
+			continue
+		}
+		if n := v.index(s.tasks[i].worker); n >= 0 {
+			v.candidates[n].OfStep++
+		}
+	}
+}
+
+func (v *view) index(id workload.WorkerID) int {
+	if id == "" {
+		return -1
+	}
+	n := sort.Search(len(v.workers), func(i int) bool { return v.workers[i].id >= id })
+	if n < len(v.workers) && v.workers[n].id == id {
+		return n
+	}
+	return -1
+}
+
+func (v *view) rackOfStep(s *step) string {
+	if !s.spec.Coupled {
+		return ""
+	}
+	for i := range v.candidates {
+		if v.candidates[i].OfStep > 0 {
+			return v.candidates[i].Rack
+		}
+	}
+	return ""
+}
+
+func (v *view) rackOfChosen(chosen []int) string {
+	if len(chosen) == 0 {
+		return ""
+	}
+	return v.candidates[chosen[0]].Rack
+}
+
+// take reserves room on candidate n.
+func (v *view) take(n int, s *workload.Step) {
+	c := &v.candidates[n]
+	c.Free = c.Free.Sub(s.Reserved())
+	c.OfStep++
+	if s.Fills {
+		c.FillLoad += s.Need.CPU
+	}
+	if s.TailTarget > 0 {
+		c.Serving++
+	}
+}
