Agents name the runs that may have crashed their worker

Now they name those that may have begun and that the worker had not run for a second when it last answered. No decision changes.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -118,7 +118,8 @@
 	}
 	l.lapsed = true
 	l.changed = r.touch(true)
-	r.deps.Log.Warn().Str("worker", string(l.id)).Dur("silent", now-l.answeredAt).Int("runs", len(l.runs)).Msg("worker silent beyond its last lease")
+	r.deps.Log.Warn().Str("worker", string(l.id)).Dur("silent", now-l.answeredAt).Int("runs", len(l.runs)).
+		Stringers("fresh", named(l.fresh())).Msg("worker silent beyond its last lease")
 }
 
 func (r *Runner) candidateFailed(ctx context.Context, id workload.WorkerID, err error) {
@@ -139,7 +140,7 @@
 // endLife notes that the life is over; nothing of it runs any more.
 func (r *Runner) endLife(why string) {
 	l := r.life
-	r.deps.Log.Info().Str("worker", string(l.id)).Int("runs", len(l.runs)).Str("why", why).Msg("worker gone")
+	r.deps.Log.Info().Str("worker", string(l.id)).Int("runs", len(l.runs)).Stringers("fresh", named(l.fresh())).Str("why", why).Msg("worker gone")
 	r.former = append(r.former, l.id)
 	if len(r.former) > maxFormer {
 		r.former = r.former[1:]
@@ -290,6 +291,7 @@
 	if x.state != dispatch.RunPresent {
 		x.state = dispatch.RunPresent
 		x.confirmedAt = r.deps.Now()
+		x.presentAt = x.confirmedAt
 		if ok {
 			x.workedAt = x.confirmedAt
 		}
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -150,23 +150,19 @@
 // start repeats one order until its outcome is known.
 func (r *Runner) start(ctx context.Context, l *life, x *run) {
 	begun := r.deps.Now()
-	uncertain := false
 	for try := 1; ctx.Err() == nil; try++ {
 		r.mu.Lock()
 		lease := r.leaseLimit(l)
 		current := r.life == l && x.state == dispatch.RunPending && !x.stopping
 		patience := l.answers.timeout(try)
-		drained := r.drained
+		reason := r.hinders(lease, begun)
+		x.calling = current && reason == ""
 		r.mu.Unlock()
 		if !current {
 			return
 		}
-		if drained {
-			r.giveUp(ctx, l, x, uncertain, dispatch.ReasonDrained)
-			return
-		}
-		if lease == 0 || r.deps.Now()-begun > settleTime {
-			r.giveUp(ctx, l, x, uncertain, "no answer within the grant")
+		if reason != "" {
+			r.giveUp(ctx, l, x, reason)
 			return
 		}
 		answer, cancel := context.WithTimeout(ctx, patience)
@@ -178,7 +174,7 @@
 		if err == nil {
 			r.observeAnswer(l, r.deps.Now()-sent)
 		}
-		done, reason := r.startAnswered(l, x, now, err, uncertain)
+		done, reason := r.startAnswered(l, x, now, err)
 		if done {
 			return
 		}
@@ -186,16 +182,25 @@
 			if reason == "" {
 				reason = "the worker turns starts away"
 			}
-			r.giveUp(ctx, l, x, uncertain, reason)
+			r.giveUp(ctx, l, x, reason)
 			return
 		}
-		if errors.Is(err, workerctl.ErrUnknown) {
-			uncertain = true
-		}
 		time.Sleep(retryPause)
 	}
 }
 
+// hinders says why a start that was first sent at begun must not be sent again
+// under lease; it is empty if nothing hinders it. The caller holds mu.
+func (r *Runner) hinders(lease workerctl.Clock, begun time.Duration) string {
+	switch {
+	case r.drained:
+		return dispatch.ReasonDrained
+	case lease == 0 || r.deps.Now()-begun > settleTime:
+		return "no answer within the grant"
+	}
+	return ""
+}
+
 // observeAnswer takes the time of an answer.
 func (r *Runner) observeAnswer(l *life, took time.Duration) {
 	r.mu.Lock()
@@ -205,9 +210,13 @@
 
 // startAnswered takes the answer to a start. done says that nothing is left
 // to do; else a reason is the worker's final refusal.
-func (r *Runner) startAnswered(l *life, x *run, now workerctl.Clock, err error, uncertain bool) (done bool, reason string) {
+func (r *Runner) startAnswered(l *life, x *run, now workerctl.Clock, err error) (done bool, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	x.calling = false
+	if errors.Is(err, workerctl.ErrUnknown) {
+		x.uncertain = true
+	}
 	if r.life != l {
 		return true, ""
 	}
@@ -230,7 +239,7 @@
 		}
 		return false, "the worker refused: " + string(refused.Reason)
 	}
-	r.deps.Log.Warn().Err(err).Stringer("run", x.id).Bool("uncertain", uncertain).Msg("start not answered")
+	r.deps.Log.Warn().Err(err).Stringer("run", x.id).Bool("may_have_begun", x.uncertain).Msg("start not answered")
 	return false, ""
 }
 
@@ -240,6 +249,7 @@
 	}
 	x.state = dispatch.RunPresent
 	x.confirmedAt = r.deps.Now()
+	x.presentAt = x.confirmedAt
 	x.workedAt = x.confirmedAt
 	x.changed = r.touch(false)
 	if now > l.clock.now {
@@ -249,14 +259,14 @@
 
 // giveUp makes a start void: at once if no order of it can still be carried
 // out, else by a stop.
-func (r *Runner) giveUp(ctx context.Context, l *life, x *run, uncertain bool, reason string) {
+func (r *Runner) giveUp(ctx context.Context, l *life, x *run, reason string) {
 	r.mu.Lock()
 	if r.life != l || x.state != dispatch.RunPending {
 		r.mu.Unlock()
 		return
 	}
 	r.counters.Refused++
-	if !uncertain {
+	if !x.uncertain {
 		r.makeVoid(l, x, reason)
 		r.mu.Unlock()
 		return
@@ -280,7 +290,7 @@
 				return
 			}
 		}
-		x = &run{id: id, sized: true}
+		x = &run{id: id, sized: true, uncertain: true}
 		l.runs[id] = x
 	}
 	if x.stopping || x.state == dispatch.RunVoid {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -154,12 +154,18 @@
 	// confirmedAt is when the worker confirmed the run, or that it is to
 	// stop: only a listing that was asked for later proves its absence.
 	confirmedAt time.Duration
-	stopping    bool
-	stopped     bool
-	reason      string
-	changed     uint64
-	progress    int
-	rough       float64
+	// presentAt is when the run was first known to be on the worker; 0 before.
+	presentAt time.Duration
+	// calling says that an order of the run is under way, uncertain that one
+	// was left without an answer.
+	calling   bool
+	uncertain bool
+	stopping  bool
+	stopped   bool
+	reason    string
+	changed   uint64
+	progress  int
+	rough     float64
 	// estimate is that of the order; firstProgress is the progress of the
 	// first listing, at firstAt, and slow what followed from it.
 	estimate      time.Duration
