--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -23,6 +23,8 @@
 	runner  *runner.Runner
 	cancel  context.CancelFunc
 	control *control
+	// held says that no report of the worker arrives.
+	held bool
 }
 
 // Worker is the life of the worker that is there now.
@@ -44,6 +46,12 @@
 	}
 	worker := NewWorker(info, w.Rules, w.opt.Outcome, w.opt.Seed+uint64(life))
 	worker.advisor = w.advisor
+	worker.OnCrash(func() {
+		time.Sleep(w.opt.backAfter())
+		if !w.isClosed() && a.Worker() == worker {
+			a.NewWorker()
+		}
+	})
 	a.mu.Lock()
 	before := a.worker
 	a.worker = worker
@@ -64,15 +72,22 @@
 			return
 		}
 		a.mu.Lock()
-		r := a.runner
+		r, held := a.runner, a.held
 		a.mu.Unlock()
-		if r != nil && !dark {
+		if r != nil && !dark && !held {
 			r.Reported(info, n)
 		}
 		time.Sleep(heartbeat)
 	}
 }
 
+// HoldReports sets whether the worker's reports get lost, though it answers.
+func (a *Agent) HoldReports(held bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held = held
+}
+
 // Start starts the agent's process, unless one runs.
 func (a *Agent) Start() {
 	a.mu.Lock()
--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -22,6 +22,8 @@
 	lastStart time.Duration
 	Started   int
 	Done      int
+	// Crashes counts the workers that were crashed by what they ran.
+	Crashes int
 }
 
 // watched is a job as clients and workers have seen it.
@@ -44,7 +46,13 @@
 	// doneRuns are the runs that ended done, true if the task has started
 	// again since.
 	doneRuns map[workload.TaskID]map[int]bool
-	shown    workload.State
+	// lost counts the workers that crashed while a run of a task was there,
+	// crashes those of them that it crashed itself, again its starts after
+	// the third such crash.
+	lost, crashes, again map[workload.TaskID]int
+	// brokenGangs are the runs of gangs of which a member is gone.
+	brokenGangs map[workload.RunID]bool
+	shown       workload.State
 }
 
 // NewRules returns rules that know of no job.
@@ -77,6 +85,8 @@
 			spec: spec, running: map[workload.TaskID]map[workload.RunID]*Worker{}, done: map[workload.TaskID]bool{},
 			noted: map[workload.TaskID]bool{}, failed: map[workload.TaskID]map[int]bool{},
 			before: map[workload.TaskID][][]int{}, doneRuns: map[workload.TaskID]map[int]bool{},
+			lost: map[workload.TaskID]int{}, crashes: map[workload.TaskID]int{}, again: map[workload.TaskID]int{},
+			brokenGangs: map[workload.RunID]bool{},
 		}
 	}
 }
@@ -111,6 +121,9 @@
 		r.breach("job %s was shown as %s and then as %s", id, j.shown, s)
 	}
 	j.shown = s
+	if s == workload.Failed && !j.mayFail() {
+		r.breach("job %s is shown as failed without cause", id)
+	}
 	if s != workload.Completed {
 		return
 	}
@@ -124,6 +137,22 @@
 	}
 }
 
+// mayFail reports whether a task of the job has failed as often as its queue
+// allows, or two workers have crashed under it.
+func (j *watched) mayFail() bool {
+	for _, runs := range j.failed {
+		if n := j.spec.Queue.MaxAttempts; n > 0 && len(runs) >= n {
+			return true
+		}
+	}
+	for _, n := range j.lost {
+		if n >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Rules) missing(id workload.JobID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,6 +251,7 @@
 	}
 	j.before[t] = append(j.before[t], before)
 	r.budget(j, t)
+	r.crashBudget(j, t)
 	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelGrace && time.Since(r.cutAt) > contact {
 		r.breach("%s started %s %v after its job was cancelled", w, o.Run, time.Since(j.cancelled))
 	}
@@ -247,7 +277,7 @@
 			ofStep++
 		}
 	}
-	if !sum.Fits(w.info.Capacity) {
+	if !w.holds(sum) {
 		r.breach("%s is over its capacity with %s: %+v", w, x.run, sum)
 	}
 	if n := r.jobs[x.run.Task.Job].spec.Steps[x.run.Task.Step].Spread; n > 0 && ofStep > n {
@@ -316,12 +346,77 @@
 	}
 }
 
-// gone notes that a run ended with its worker.
-func (r *Rules) gone(_ *Worker, run workload.RunID) {
+const (
+	// crashBound is the number of workers that a task may crash before its
+	// starts are counted, moreStarts that of the starts that break the rule.
+	crashBound = 3
+	moreStarts = 3
+)
+
+// crashBudget counts a start of a task that has crashed crashBound workers.
+func (r *Rules) crashBudget(j *watched, t workload.TaskID) {
+	if j.crashes[t] < crashBound {
+		return
+	}
+	j.again[t]++
+	if j.again[t] == moreStarts {
+		r.breach("%s was started %d times more after %d workers had crashed under it", t, moreStarts, crashBound)
+	}
+}
+
+// gangRun names one run of a gang.
+func gangRun(run workload.RunID) workload.RunID {
+	run.Task.Index = 0
+	return run
+}
+
+// member is a run of a gang and where it is.
+type member struct {
+	run workload.RunID
+	on  *Worker
+}
+
+// breakGang notes that a member of a gang is gone, and returns the others.
+func (r *Rules) breakGang(run workload.RunID) []member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if j := r.jobs[run.Task.Job]; j != nil {
-		delete(j.running[run.Task], run)
+	j := r.jobs[run.Task.Job]
+	if j == nil || !j.spec.Steps[run.Task.Step].Gang {
+		return nil
+	}
+	j.brokenGangs[gangRun(run)] = true
+	var others []member
+	for _, runs := range j.running {
+		for other, on := range runs {
+			if gangRun(other) == gangRun(run) {
+				others = append(others, member{run: other, on: on})
+			}
+		}
+	}
+	return others
+}
+
+// alone reports whether the run is of a gang of which a member is gone.
+func (r *Rules) alone(run workload.RunID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[run.Task.Job]
+	return j != nil && j.brokenGangs[gangRun(run)]
+}
+
+// crashed notes that a run ended with its worker, and whether it was the cause.
+func (r *Rules) crashed(run workload.RunID, cause bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[run.Task.Job]
+	if j == nil {
+		return
+	}
+	delete(j.running[run.Task], run)
+	j.lost[run.Task]++
+	if cause {
+		j.crashes[run.Task]++
+		r.Crashes++
 	}
 }
 
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -22,6 +22,8 @@
 	Fails bool
 	// Hangs says that it never ends by itself.
 	Hangs bool
+	// Crashes says that its worker crashes soon after it has begun.
+	Crashes bool
 }
 
 const (
@@ -31,6 +33,10 @@
 	silence = 500 * time.Millisecond
 	// failTime is how soon a run ends on a worker that fails what it starts.
 	failTime = 30 * time.Millisecond
+	// crashTime is how soon a run that crashes its worker does so.
+	crashTime = 10 * time.Millisecond
+	// aloneTime is how long a member of a gang waits for the others.
+	aloneTime = 3 * time.Second
 	// stopTime is how long a run takes to stop.
 	stopTime = 200 * time.Millisecond
 	// longestLease is the longest lease that a worker grants.
@@ -46,6 +52,8 @@
 	outcome func(workload.RunID) Outcome
 	advisor *advisor
 	info    workload.Worker
+	// onCrash is called when a run has crashed the worker; nil for nothing.
+	onCrash func()
 	// slow is the worker's clock against true time, 0.98 to 1.
 	slow  float64
 	began time.Time
@@ -77,6 +85,14 @@
 	// up to it can't be noted any more.
 	lapsedEnds uint64
 	changed    chan struct{}
+	// larger are the capacities that the worker had before it shrank.
+	larger []formerCapacity
+}
+
+// formerCapacity is what a worker offered until it shrank.
+type formerCapacity struct {
+	capacity workload.Resources
+	until    time.Time
 }
 
 type working struct {
@@ -129,14 +145,80 @@
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.crash(workload.RunID{})
+}
+
+// crash ends the life; by is the run that is the cause, if any.
+func (w *Worker) crash(by workload.RunID) {
+	if !w.alive {
+		return
+	}
 	w.alive = false
 	for _, x := range w.running {
 		x.timer.Stop()
-		w.rules.gone(w, x.run)
+		w.rules.crashed(x.run, x.run == by)
+		time.AfterFunc(answerTime, func() {
+			for _, m := range w.rules.breakGang(x.run) {
+				m.on.breakOff(m.run)
+			}
+		})
 	}
 	w.running = map[workload.RunID]*working{}
 }
 
+// breakOff ends a member of a gang of which another one is gone.
+func (w *Worker) breakOff(run workload.RunID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if x := w.running[run]; x != nil && w.alive {
+		w.end(x, workload.EndBroken)
+	}
+}
+
+// crashSoon lets a run that has begun crash the worker.
+func (w *Worker) crashSoon(x *working) *time.Timer {
+	return time.AfterFunc(crashTime, func() {
+		w.mu.Lock()
+		crashes, then := w.alive && w.running[x.run] == x, w.onCrash
+		if crashes {
+			w.crash(x.run)
+		}
+		w.mu.Unlock()
+		if crashes && then != nil {
+			then()
+		}
+	})
+}
+
+// OnCrash sets what is called when a run has crashed the worker.
+func (w *Worker) OnCrash(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.onCrash = f
+}
+
+// SetCapacity changes what the worker offers; its next report says so.
+func (w *Worker) SetCapacity(c workload.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.larger = append(w.larger, formerCapacity{capacity: w.info.Capacity, until: time.Now()})
+	w.info.Capacity = c
+}
+
+// shrinkGrace is how long after it shrank a worker may still be filled to what
+// it offered before, on the users' tightest terms.
+const shrinkGrace = contact + heartbeat
+
+// holds reports whether the worker may hold that much. The caller holds mu.
+func (w *Worker) holds(sum workload.Resources) bool {
+	for _, f := range w.larger {
+		if sum.Fits(f.capacity) && time.Since(f.until) <= shrinkGrace {
+			return true
+		}
+	}
+	return sum.Fits(w.info.Capacity)
+}
+
 // Info is what the worker reports of itself; alive is false after its end.
 func (w *Worker) Info() (info workload.Worker, alive bool) {
 	w.mu.Lock()
@@ -299,7 +381,14 @@
 	if out.Fails {
 		kind = workload.EndFailed
 	}
+	if w.rules.alone(o.Run) {
+		out, kind = Outcome{For: aloneTime}, workload.EndAlone
+	}
 	x.lasts = out.For == 0 || w.rules.lasting(o.Run)
+	if out.Crashes {
+		x.timer = w.crashSoon(x)
+		return
+	}
 	if x.lasts || out.Hangs || w.hangs {
 		x.timer = time.AfterFunc(time.Hour, func() {})
 		return
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -6,6 +6,7 @@
 package machines
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -44,6 +45,9 @@
 	DataCentres int
 	// Capacity is that of each worker.
 	Capacity workload.Resources
+	// BackAfter is how long a worker that was crashed by a run is away; 0
+	// stands for three seconds.
+	BackAfter time.Duration
 	// Outcome tells how runs behave.
 	Outcome func(workload.RunID) Outcome
 	// Log takes the programs' logs; nil drops them.
@@ -52,6 +56,11 @@
 	LogLines int
 }
 
+// usuallyBack is how long a worker is away that was crashed by a run.
+const usuallyBack = 3 * time.Second
+
+func (o Options) backAfter() time.Duration { return cmp.Or(o.BackAfter, usuallyBack) }
+
 // World is a deployment.
 type World struct {
 	Store *memstore.Store
@@ -70,6 +79,7 @@
 	// hidden lists the machines that can't read the operator's rows.
 	hidden map[string]bool
 	lives  int
+	closed bool
 }
 
 // server is what listens at an address.
@@ -122,8 +132,17 @@
 	return log.Hook(&logs.Limit{PerSecond: w.opt.LogLines, Tell: logs.TellLeftOut(log)})
 }
 
+func (w *World) isClosed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
 // Close ends all programs and workers.
 func (w *World) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	for _, e := range w.entries {
 		e.Kill()
 	}
