A task that crashes its workers is tried in quarantine, and given up

Cause: a run that is lost with its worker counted as nothing. Its task waited again as if it had never begun and was placed at once, together with all that was lost beside it, on the worker with the most room, which is the one that has just come back. Class: failures that leave no end are invisible to every bound that counts ends.

Ruled out: a count that was lost with a term (one scheduler led) and starts that the agent repeats by itself (each run has its own placement); timeline of the incident.

Now agents name the runs that may have crashed a worker (there for less than a second when it last answered). The scheduler counts them in the task's row, in the transaction that places the task again, so the count outlives every process. A counted task starts next on a worker where nothing else has begun of late and nothing of another job begins until it has stood for a second, on another machine than before. After two crashes for certain, the last without another possible cause, its job fails; after five possible ones in any case, which bounds the starts also where agents or schedulers were lost.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -16,14 +16,23 @@
 	namedRuns = 16
 )
 
+// formerLife is a life that is over.
+type formerLife struct {
+	id workload.WorkerID
+	// fresh are the runs that may have crashed it.
+	fresh []dispatch.FreshRun
+	// changed is the change that told of its end.
+	changed uint64
+}
+
 // fresh lists the runs that may have crashed the worker: they may have begun,
 // and the worker has not answered since they had been there for provenAfter.
 // The caller holds mu.
-func (l *life) fresh() []workload.RunID {
-	var list []workload.RunID
+func (l *life) fresh() []dispatch.FreshRun {
+	var list []dispatch.FreshRun
 	for id, x := range l.runs {
 		if x.mayHaveBegun() && !x.proven(l.answeredAt) {
-			list = append(list, id)
+			list = append(list, dispatch.FreshRun{Run: id, Begun: x.state == dispatch.RunPresent && !x.found})
 		}
 	}
 	return list
@@ -41,11 +50,43 @@
 	return x.presentAt > 0 && answeredAt-x.presentAt >= provenAfter
 }
 
+// seenPresent notes that the run is on the worker. The members of a gang begin
+// to work when all are there, so a run of a gang counts from its first work.
+func (x *run) seenPresent(works bool, now time.Duration) {
+	if x.presentAt == 0 && (works || !x.gang) {
+		x.presentAt = now
+	}
+}
+
+// tellProven tells once that a run is proven of which the scheduler wants to
+// know. The caller holds mu.
+func (r *Runner) tellProven(l *life, x *run) {
+	if x.watched && !x.toldProven && x.proven(l.answeredAt) {
+		x.toldProven = true
+		x.changed = r.touch(true)
+	}
+}
+
+// formerLives lists the lives that are over, and the runs that may have crashed
+// those of them, or the present one, of which the caller has not read since.
+func (r *Runner) formerLives(since uint64) (lives []workload.WorkerID, fresh []dispatch.FreshRun) {
+	for _, f := range r.former {
+		lives = append(lives, f.id)
+		if since == 0 || f.changed > since {
+			fresh = append(fresh, f.fresh...)
+		}
+	}
+	if l := r.life; l != nil && l.lapsed && (since == 0 || l.changed > since) {
+		fresh = append(fresh, l.fresh()...)
+	}
+	return lives, fresh
+}
+
 // named returns what a log line shows of runs.
-func named(runs []workload.RunID) []fmt.Stringer {
+func named(runs []dispatch.FreshRun) []fmt.Stringer {
 	list := make([]fmt.Stringer, 0, namedRuns)
 	for _, r := range runs[:min(len(runs), namedRuns)] {
-		list = append(list, r)
+		list = append(list, r.Run)
 	}
 	return list
 }
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -141,7 +141,7 @@
 func (r *Runner) endLife(why string) {
 	l := r.life
 	r.deps.Log.Info().Str("worker", string(l.id)).Int("runs", len(l.runs)).Stringers("fresh", named(l.fresh())).Str("why", why).Msg("worker gone")
-	r.former = append(r.former, l.id)
+	r.former = append(r.former, formerLife{id: l.id, fresh: l.fresh(), changed: r.version + 1})
 	if len(r.former) > maxFormer {
 		r.former = r.former[1:]
 	}
@@ -284,14 +284,13 @@
 	if !ok {
 		// A run of an earlier process of this agent: it takes room that is
 		// not known until the scheduler repeats its order.
-		x = &run{id: s.Run}
+		x = &run{id: s.Run, found: true}
 		l.runs[s.Run] = x
 		r.deps.Log.Info().Stringer("run", s.Run).Msg("run found on the worker")
 	}
 	if x.state != dispatch.RunPresent {
 		x.state = dispatch.RunPresent
 		x.confirmedAt = r.deps.Now()
-		x.presentAt = x.confirmedAt
 		if ok {
 			x.workedAt = x.confirmedAt
 		}
@@ -302,6 +301,8 @@
 		x.changed = r.touch(false)
 	}
 	x.progress = s.Progress
+	x.seenPresent(s.Progress > 0 || s.Rough > 0, r.deps.Now())
+	r.tellProven(l, x)
 	if !x.slow && x.straggles(r.deps.Now()) {
 		x.slow = true
 		x.changed = r.touch(true)
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -116,6 +116,8 @@
 	x.fills = o.Fills
 	x.image = o.Image
 	x.tailTarget = o.TailTarget
+	x.gang = o.Gang
+	x.watched = o.Watched
 	x.estimate = o.Estimate
 	x.sized = true
 }
@@ -130,7 +132,7 @@
 	if r.drained {
 		return dispatch.ReasonDrained
 	}
-	if l.silent || r.deps.Now()-l.answeredAt > silentAfter {
+	if l.silent || r.deps.Now()-l.answeredAt > silentAfter || x.watched && l.failures > 0 {
 		return "the worker does not answer"
 	}
 	if !l.listed {
@@ -249,7 +251,7 @@
 	}
 	x.state = dispatch.RunPresent
 	x.confirmedAt = r.deps.Now()
-	x.presentAt = x.confirmedAt
+	x.seenPresent(false, x.confirmedAt)
 	x.workedAt = x.confirmedAt
 	x.changed = r.touch(false)
 	if now > l.clock.now {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -63,7 +63,7 @@
 	candidate *workload.Worker
 	// candidateSeq is the number of its latest report.
 	candidateSeq uint64
-	former       []workload.WorkerID
+	former       []formerLife
 	// kick wakes the holding loop.
 	kick     chan struct{}
 	counters Counters
@@ -148,14 +148,21 @@
 	fills      bool
 	image      string
 	tailTarget time.Duration
+	gang       bool
+	watched    bool
 	payload    string
 	checkpoint string
 	ticket     string
 	// confirmedAt is when the worker confirmed the run, or that it is to
 	// stop: only a listing that was asked for later proves its absence.
 	confirmedAt time.Duration
-	// presentAt is when the run was first known to be on the worker; 0 before.
+	// presentAt is when the run was first known to be on the worker, a gang's to
+	// be at work; 0 before.
 	presentAt time.Duration
+	// found says that the run is of an earlier process of this agent.
+	found bool
+	// toldProven says that a change told that the run is proven.
+	toldProven bool
 	// calling says that an order of the run is under way, uncertain that one
 	// was left without an answer.
 	calling   bool
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -81,7 +81,8 @@
 }
 
 func (r *Runner) report(since uint64) dispatch.WatchReply {
-	reply := dispatch.WatchReply{Process: r.token, At: r.deps.Now(), Version: r.version, Former: r.former}
+	reply := dispatch.WatchReply{Process: r.token, At: r.deps.Now(), Version: r.version}
+	reply.Former, reply.Fresh = r.formerLives(since)
 	if reply.Version == 0 {
 		// Version 0 would ask for everything again and never wait.
 		reply.Version = r.touch(false)
@@ -97,7 +98,7 @@
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range l.runs {
 		if x.changed > since || since == 0 {
-			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason, Slow: x.slow})
+			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason, Slow: x.slow, Proven: x.proven(l.answeredAt)})
 		}
 	}
 	for _, e := range l.ends {
@@ -129,7 +130,7 @@
 		return
 	}
 	for _, f := range r.former {
-		if f == w.ID {
+		if f.id == w.ID {
 			return
 		}
 	}
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -16,6 +16,9 @@
 	// from workers on which they got on too slowly. Suspected counts how often
 	// a worker got no more tasks that end by themselves, since it failed them.
 	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued, Suspected atomic.Int64
+	// Blamed counts how often a task may have crashed a worker, Quarantined the
+	// runs in quarantine, GivenUp the jobs that failed since they crash workers.
+	Blamed, Quarantined, GivenUp atomic.Int64
 	// Drained counts lasting tasks that were moved out of a drained data
 	// centre; Drains is what is drained now.
 	Drained atomic.Int64
@@ -54,7 +57,7 @@
 	return map[string]any{
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
-		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
+		"suspected": c.Suspected.Load(), "blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -48,6 +48,16 @@
 	// avoid is the worker where the task failed last, at failedAt.
 	avoid    workload.WorkerID
 	failedAt time.Duration
+	// crashes counts the workers that were lost under the task and that it may
+	// have crashed, since a run of it was last proven; the latest at crashedAt, on
+	// the machine crashedOn. certain are those that crashed under it for certain.
+	crashes   int
+	certain   int
+	crashedAt time.Time
+	crashedOn string
+	// presentAt is when the agent first told that the placed run is on its
+	// worker; 0 before.
+	presentAt time.Duration
 	// notBefore delays the next run after repeated failures.
 	notBefore time.Time
 }
@@ -181,6 +191,7 @@
 	t.state = taskWaiting
 	t.agent, t.worker = "", ""
 	t.stopping, t.ordered, t.slow = false, false, false
+	t.presentAt = 0
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
@@ -244,7 +255,7 @@
 		if t.run == 0 || j.state.Final() && t.state != taskPlaced {
 			continue
 		}
-		tr := taskRow{Index: i, Run: t.run, Fails: t.fails, Checkpoint: t.checkpoint}
+		tr := taskRow{Index: i, Run: t.run, Fails: t.fails, Crashes: t.crashes, Certain: t.certain, Checkpoint: t.checkpoint}
 		if t.state == taskPlaced {
 			tr.Worker = reference(workerRef{Agent: t.agent, Worker: t.worker}, refs, r)
 		}
@@ -292,6 +303,7 @@
 		}
 		t := &s.tasks[tr.Index]
 		t.run, t.storedRun, t.fails, t.checkpoint = tr.Run, tr.Run, tr.Fails, tr.Checkpoint
+		t.crashes, t.certain, t.crashedAt = tr.Crashes, tr.Certain, now
 		if tr.Worker > 0 && tr.Worker <= len(workers) {
 			ref := workers[tr.Worker-1]
 			t.state, t.agent, t.worker = taskPlaced, ref.Agent, ref.Worker
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -194,8 +194,9 @@
 	l.since = reply.Version
 	l.echo = reply.At
 	l.heard = t.deps.Now()
+	fresh := freshRuns(reply)
 	for _, id := range reply.Former {
-		t.dead(id, "its agent has seen its end")
+		t.dead(id, loss{why: "its agent has seen its end", told: true, fresh: fresh})
 	}
 	if reply.Worker.ID == "" {
 		return true
@@ -234,7 +235,7 @@
 	changed := false
 	if l.worker == nil || l.worker.id != info.ID {
 		if l.worker != nil {
-			t.dead(l.worker.id, "its agent has another worker")
+			t.dead(l.worker.id, loss{why: "its agent has another worker"})
 		}
 		w := t.workers[info.ID]
 		if w == nil {
@@ -245,7 +246,7 @@
 		l.worker = w
 		for _, other := range t.workers {
 			if other.agent == l.node && other != w {
-				t.dead(other.id, "its agent has another worker")
+				t.dead(other.id, loss{why: "its agent has another worker"})
 			}
 		}
 		t.orderKnown(w)
@@ -257,7 +258,7 @@
 		defer t.evacuate(w)
 	}
 	if reply.Lapsed && (w.alive || len(w.runs) > 0) {
-		t.loseRuns(w, "it is silent beyond its last lease")
+		t.loseRuns(w, loss{why: "it is silent beyond its last lease", told: true, fresh: freshRuns(reply)})
 		changed = true
 	}
 	alive := reply.Listed && !reply.Lapsed
@@ -269,6 +270,10 @@
 	w.info = info
 	w.drained = t.drains.Covers(info.DataCentre)
 	w.alive = alive
+	if alive {
+		w.seenAt = t.deps.Now()
+		w.suspects = nil
+	}
 	return changed
 }
 
@@ -322,5 +327,13 @@
 	if r.Checkpoint != "" {
 		k.checkpoint = r.Checkpoint
 	}
+	if r.State == dispatch.RunPresent && k.presentAt == 0 {
+		k.presentAt = t.deps.Now()
+	}
+	if r.Proven && k.crashes > 0 {
+		t.deps.Log.Info().Stringer("run", r.Run).Str("worker", string(w.id)).Int("crashes", k.crashes).Msg("run has not crashed its worker")
+		t.absolve(j, k)
+		return true
+	}
 	return r.Slow && t.straggler(w, s, k, r.Run)
 }
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -3,7 +3,7 @@
 import "persimmonrock.example/structs/workload"
 
 // dead notes that a life of a worker is over: nothing of it runs any more.
-func (t *Term) dead(id workload.WorkerID, why string) {
+func (t *Term) dead(id workload.WorkerID, how loss) {
 	w := t.workers[id]
 	if w == nil {
 		return
@@ -12,13 +12,15 @@
 	if w.link != nil && w.link.worker == w {
 		w.link.worker = nil
 	}
-	t.loseRuns(w, why)
+	how.crashed = true
+	t.loseRuns(w, how)
 }
 
 // loseRuns makes everything on record at w wait again.
-func (t *Term) loseRuns(w *worker, why string) {
+func (t *Term) loseRuns(w *worker, how loss) {
+	suspects := t.suspects(w, how)
 	if w.alive || len(w.runs) > 0 {
-		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Str("why", why).Msg("worker lost")
+		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Int("suspects", len(suspects)).Str("why", how.why).Msg("worker lost")
 	}
 	w.alive = false
 	for r := range w.runs {
@@ -32,6 +34,7 @@
 		}
 		w.remove(r)
 	}
+	t.blame(w, how, suspects)
 	if w.link != nil {
 		// Should the worker come back, all of its runs are compared anew.
 		w.link.since = 0
@@ -45,7 +48,7 @@
 	lost := false
 	for _, w := range t.workers {
 		if w.bound > 0 && now > w.bound && (w.alive || len(w.runs) > 0) {
-			t.loseRuns(w, "its last lease is over")
+			t.loseRuns(w, loss{why: "its last lease is over"})
 			lost = true
 		}
 	}
--- a/entry/scheduler/orders.go
+++ b/entry/scheduler/orders.go
@@ -11,7 +11,7 @@
 	r := workload.RunID{Task: id, Run: k.run}
 	l.starts[r] = dispatch.StartOrder{
 		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, Image: s.spec.Image, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint, Ticket: k.ticket,
-		Estimate: ownPace(s.spec),
+		Gang: s.spec.Gang, Watched: k.crashes > 0, Estimate: ownPace(s.spec),
 	}
 	signal(l.outbox)
 }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -21,6 +21,7 @@
 	if t.blind {
 		return
 	}
+	t.endQuarantines(time.Now())
 	v := t.newView()
 	t.learner.trials.scan(v.workers, t.learner.weights(), v.now)
 	for _, j := range t.active {
@@ -70,17 +71,30 @@
 			if j.queue.Advised {
 				lift = t.advised(v, j, o, si)
 			}
-			if s.spec.Gang {
-				t.planGang(v, j, o, si)
-			} else {
-				t.planStep(v, j, o, si)
-			}
+			t.planOpen(v, j, o, si)
 			t.logPlaced(v, j, o, si)
 			lift()
 		}
 	}
 }
 
+// planOpen places the tasks of a step that may start.
+func (t *Term) planOpen(v *view, j *job, o *occurrence, si int) {
+	now := time.Now()
+	s := o.steps[si]
+	suspects := s.quarantined(now)
+	switch {
+	case s.spec.Gang && suspects && t.planQuarantine(v, j, o, si, now):
+	case s.spec.Gang:
+		t.planGang(v, j, o, si)
+	default:
+		t.planStep(v, j, o, si)
+		if suspects {
+			t.planQuarantine(v, j, o, si, now)
+		}
+	}
+}
+
 func (t *Term) planStep(v *view, j *job, o *occurrence, si int) {
 	s := o.steps[si]
 	v.countStep(s)
@@ -97,7 +111,7 @@
 	now := time.Now()
 	for i := range s.tasks {
 		k := &s.tasks[i]
-		if k.state != taskWaiting || k.notBefore.After(now) {
+		if k.state != taskWaiting || k.notBefore.After(now) || k.quarantined(now) {
 			continue
 		}
 		if t.placePinned(v, j, o, si, i, now) {
@@ -171,13 +185,7 @@
 	v.countStep(s)
 	saved := append([]placement.Candidate(nil), v.candidates...)
 	var chosen []int
-	run := 0
-	checkpoint := ""
-	for i := range s.tasks {
-		run = max(run, s.tasks[i].run)
-		if s.tasks[i].checkpoint != "" {
-			checkpoint = s.tasks[i].checkpoint
-		}
+	for range s.tasks {
 		n := placement.Choose(placement.Request{Step: s.spec, Avoid: -1, Rack: v.rackOfChosen(chosen)}, v.candidates)
 		if n < 0 {
 			v.candidates = saved
@@ -187,10 +195,23 @@
 		chosen = append(chosen, n)
 	}
 	v.candidates = saved
+	run, checkpoint := s.nextGangRun()
 	for i, n := range chosen {
 		s.tasks[i].checkpoint = checkpoint
-		t.place(v, j, o, si, i, n, run+1)
+		t.place(v, j, o, si, i, n, run)
+	}
+}
+
+// nextGangRun is the number of a gang's next run, and the checkpoint from which
+// all members begin.
+func (s *step) nextGangRun() (run int, checkpoint string) {
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].run)
+		if s.tasks[i].checkpoint != "" {
+			checkpoint = s.tasks[i].checkpoint
+		}
 	}
+	return run + 1, checkpoint
 }
 
 // place puts the next run of a task on record at candidate n. The agent hears
@@ -204,6 +225,7 @@
 	k.agent, k.worker = w.agent, w.id
 	k.placedAt = time.Now()
 	k.ordered, k.stopping = false, false
+	k.presentAt = 0
 	k.ticket = ""
 	if s.advice != nil {
 		k.ticket, _ = s.advice.ticket(w.id, k.placedAt)
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -122,6 +122,10 @@
 	Index int `json:"i,omitempty"`
 	Run   int `json:"r"`
 	Fails int `json:"f,omitempty"`
+	// Crashes counts the workers that the task may have crashed, Certain those
+	// of them that crashed under it for certain.
+	Crashes int `json:"x,omitempty"`
+	Certain int `json:"y,omitempty"`
 	// Worker is 1 more than the index of the worker where the run is; 0 is
 	// none.
 	Worker     int    `json:"w,omitempty"`
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -310,6 +310,9 @@
 		return
 	}
 	w.remove(e.Run)
+	if e.Kind == workload.EndDone {
+		t.absolve(j, k)
+	}
 	if w.judge(e, k.placedAt, t.deps.Now()) {
 		t.suspected(w)
 	}
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -40,6 +40,12 @@
 	processed uint64
 	stored    uint64
 	health    health
+	// seenAt is when its agent last told that it answers.
+	seenAt time.Duration
+	// suspects are the tasks that may have crashed it, if it has.
+	suspects []suspect
+	// quarantine dedicates the worker to one job for a while; nil else.
+	quarantine *quarantine
 	// slowUntil is until when tasks that get on at their own pace go
 	// elsewhere.
 	slowUntil time.Duration
@@ -130,7 +136,7 @@
 	return placement.Candidate{
 		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.keptFor(workload.TaskID{}, time.Now())), FillLoad: w.fillLoad, Serving: w.serving,
 		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now), Slow: now < w.slowUntil,
-		Barred: !w.takes(service),
+		Barred: !w.takes(service) || w.quarantine != nil,
 	}
 }
 
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -41,6 +41,11 @@
 	TailTarget time.Duration
 	Checkpoint string
 	Ticket     string
+	// Gang says that the run works only together with others.
+	Gang bool
+	// Watched asks the agent to tell when the run is proven, since a worker has
+	// crashed under an earlier one of its task.
+	Watched bool
 	// Estimate is the client's guess of the run time of a task that ends by
 	// itself and works at its own pace; 0 for all others.
 	Estimate time.Duration
@@ -149,12 +154,22 @@
 	Lapsed bool
 	// Former lists earlier lives that are known to have ended.
 	Former []workload.WorkerID
-	Runs   []RunReport
-	Ends   []workload.End
+	// Fresh lists the runs that may have crashed one of these lives, or the
+	// worker that has lapsed. Those of a life are told until they were read.
+	Fresh []FreshRun
+	Runs  []RunReport
+	Ends  []workload.End
 	// Sample is set once in each WatchArgs.SampleEvery.
 	Sample *TailSample
 }
 
+// FreshRun is a run that may have crashed its worker. Begun says that it was
+// there for certain, and not for long; else its order may have come too late.
+type FreshRun struct {
+	Run   workload.RunID
+	Begun bool
+}
+
 // RunState is what an agent knows of a run.
 type RunState uint8
 
@@ -177,6 +192,8 @@
 	Reason string
 	// Slow says that the run gets on far slower than its estimate.
 	Slow bool
+	// Proven says that the run is on a worker that has outlived its start.
+	Proven bool
 }
 
 // NoteArgs tells the scheduler of a job that was stored or cancelled.
