Agents start nothing on a worker whose room they don't know

Cause: an agent that starts takes over the worker that its predecessor recorded, with the room it had when it was found; reports that cease leave the last one in force for ever; and a start that is repeated for want of an answer was checked against the room only once. Class: a value with a bounded life that is used without its age.

Now a start needs a report that this process has heard, not older than the time within which machines count as in touch; the scheduler is told when reports cease and places nothing there. Each repeat of a start checks the room again.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -75,7 +75,7 @@
 		r.endLife("another life has begun")
 	}
 	r.counters.Lives++
-	r.life = &life{id: w.ID, worker: *r.candidate, sequence: r.candidateSeq, runs: map[workload.RunID]*run{}}
+	r.life = &life{id: w.ID, worker: *r.candidate, sequence: r.candidateSeq, reportedAt: r.candidateAt, runs: map[workload.RunID]*run{}}
 	r.candidate = nil
 	r.life.changed = r.touch(true)
 	r.deps.Log.Info().Str("worker", string(w.ID)).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).
@@ -83,6 +83,7 @@
 	if r.deps.Found != nil && r.candidateSeq > 0 {
 		go r.deps.Found(ctx, r.life.worker)
 	}
+	r.life.stale = !r.reported(r.life)
 	r.answered(r.life)
 	r.apply(r.life, listing, sent)
 }
@@ -171,6 +172,7 @@
 
 func (r *Runner) holdOnce(ctx context.Context, l *life) {
 	r.mu.Lock()
+	r.checkReports(l)
 	order := workerctl.HoldOrder{Token: r.token, Lease: r.leaseLimit(l), Seen: l.seen, Wait: r.listingWait(l)}
 	r.counters.Holds++
 	if l.failures > 0 {
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -138,15 +138,7 @@
 	if !l.listed {
 		return "the worker was not listed yet"
 	}
-	used, sized := l.used()
-	if !sized {
-		return "the size of a run is not known yet"
-	}
-	if !used.Fits(l.worker.Capacity) {
-		r.counters.RoomRefused++
-		return "no room"
-	}
-	return ""
+	return r.lacksRoom(l)
 }
 
 // start repeats one order until its outcome is known.
@@ -157,7 +149,7 @@
 		lease := r.leaseLimit(l)
 		current := r.life == l && x.state == dispatch.RunPending && !x.stopping
 		patience := l.answers.timeout(try)
-		reason := r.hinders(lease, begun)
+		reason := r.hinders(l, lease, begun)
 		x.calling = current && reason == ""
 		r.mu.Unlock()
 		if !current {
@@ -192,15 +184,16 @@
 }
 
 // hinders says why a start that was first sent at begun must not be sent again
-// under lease; it is empty if nothing hinders it. The caller holds mu.
-func (r *Runner) hinders(lease workerctl.Clock, begun time.Duration) string {
+// under lease, or is empty. The worker may have shrunk since. The caller holds
+// mu.
+func (r *Runner) hinders(l *life, lease workerctl.Clock, begun time.Duration) string {
 	switch {
 	case r.drained:
 		return dispatch.ReasonDrained
 	case lease == 0 || r.deps.Now()-begun > settleTime:
 		return "no answer within the grant"
 	}
-	return ""
+	return r.lacksRoom(l)
 }
 
 // observeAnswer takes the time of an answer.
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -21,6 +21,9 @@
 type Config struct {
 	// MaxLease is the longest lease that the worker grants.
 	MaxLease time.Duration
+	// ReportsHold is how old the worker's latest report of itself may be when
+	// something starts there; 0 stands for usualReportsHold.
+	ReportsHold time.Duration
 }
 
 // Deps are what a runner uses.
@@ -63,7 +66,9 @@
 	candidate *workload.Worker
 	// candidateSeq is the number of its latest report.
 	candidateSeq uint64
-	former       []formerLife
+	// candidateAt is when that arrived; 0 if it has not reported to this process.
+	candidateAt time.Duration
+	former      []formerLife
 	// kick wakes the holding loop.
 	kick     chan struct{}
 	counters Counters
@@ -98,10 +103,14 @@
 	worker workload.Worker
 	// sequence is the number of the latest report.
 	sequence uint64
-	changed  uint64
-	listed   bool
-	left     bool
-	clock    clockReading
+	// reportedAt is when that arrived; 0 if there was none. stale says that it
+	// was too long ago, as far as was noted.
+	reportedAt time.Duration
+	stale      bool
+	changed    uint64
+	listed     bool
+	left       bool
+	clock      clockReading
 	// answeredAt is when the worker last answered.
 	answeredAt time.Duration
 	// leaseEnd is when the last lease that was sent is over for certain.
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -93,7 +93,7 @@
 	}
 	reply.Worker = l.worker
 	reply.Worker.Draining = l.worker.Draining || l.left
-	reply.Listed = l.listed && !l.silent
+	reply.Listed = l.listed && !l.silent && !l.stale
 	reply.Lapsed = l.lapsed
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range l.runs {
@@ -118,7 +118,7 @@
 		if sequence <= l.sequence {
 			return
 		}
-		l.sequence = sequence
+		l.sequence, l.reportedAt = sequence, r.deps.Now()
 		if l.worker.Draining && !w.Draining {
 			w.Draining = true
 		}
@@ -127,6 +127,7 @@
 			r.deps.Log.Info().Str("worker", string(w.ID)).Bool("draining", w.Draining).Int("cpu", w.Capacity.CPU).Msg("worker changed")
 		}
 		l.worker = w
+		r.checkReports(l)
 		return
 	}
 	for _, f := range r.former {
@@ -138,7 +139,7 @@
 		return
 	}
 	r.candidate = &w
-	r.candidateSeq = sequence
+	r.candidateSeq, r.candidateAt = sequence, r.deps.Now()
 	r.kickHold()
 }
 
@@ -150,7 +151,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.life == nil && r.candidate == nil {
-		r.candidate, r.candidateSeq = &w, 0
+		r.candidate, r.candidateSeq, r.candidateAt = &w, 0, 0
 		r.kickHold()
 	}
 }
--- a/sessions/machines/random_test.go
+++ b/sessions/machines/random_test.go
@@ -43,6 +43,7 @@
 		luck := rand.New(rand.NewPCG(seed, uint64(r.Run)<<32|uint64(r.Task.Index)<<16|uint64(len(r.Task.Job))))
 		o := Outcome{For: time.Duration(100+luck.IntN(2500)) * time.Millisecond}
 		o.Fails = r.Task.Job[len(r.Task.Job)-1] == '7' || luck.IntN(25) == 0
+		o.Crashes = r.Task.Job[len(r.Task.Job)-1] == 'b' && r.Task.Index == 0
 		return o
 	}
 	opt := Options{Seed: seed, Entries: 2 + rng.IntN(3), Machines: 2 + rng.IntN(4), Outcome: outcome, Capacity: workload.Resources{CPU: 10000, Memory: 40000}}
@@ -165,6 +166,13 @@
 		func() { w.Store.SetLost(0.4, true); time.Sleep(wait); w.Store.SetLost(0, false) },
 		func() { w.Store.SetLost(0.3, false); time.Sleep(wait); w.Store.SetLost(0, false) },
 		func() { w.Store.Compact() },
+		func() {
+			o := agent.Worker()
+			info, _ := o.Info()
+			o.SetCapacity(workload.Resources{CPU: info.Capacity.CPU / 2, Memory: info.Capacity.Memory / 2})
+			time.Sleep(2 * wait)
+			o.SetCapacity(info.Capacity)
+		},
 	}
 	return faults[d.faultRNG.IntN(len(faults))]
 }
