--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
+	"persimmonrock.example/infra/workerctl"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -12,6 +14,9 @@
 	// provenAfter is how long a run has to be on a worker that answers until
 	// the run is no longer taken for the cause of a crash.
 	provenAfter = time.Second
+	// downSoon is the longest time from a worker's last answer to the first call
+	// that is refused after a crash: a listing and its pause.
+	downSoon = time.Second
 	// namedRuns bounds the runs that one log line names.
 	namedRuns = 16
 )
@@ -32,12 +37,26 @@
 	var list []dispatch.FreshRun
 	for id, x := range l.runs {
 		if x.mayHaveBegun() && !x.proven(l.answeredAt) {
-			list = append(list, dispatch.FreshRun{Run: id, Begun: x.state == dispatch.RunPresent && !x.found})
+			list = append(list, dispatch.FreshRun{Run: id, Begun: x.state == dispatch.RunPresent && !x.found && l.crashedThen()})
 		}
 	}
 	return list
 }
 
+// crashedThen reports whether the worker has crashed, if it has, soon after it
+// last answered, and not later: after its last lease it runs nothing.
+func (l *life) crashedThen() bool {
+	return !l.lapsed || l.downAt > 0 && l.downAt-l.answeredAt <= downSoon
+}
+
+// noteDown notes that a call was refused by the worker's address, if so. The
+// caller holds mu.
+func (r *Runner) noteDown(l *life, err error) {
+	if l.downAt == 0 && errors.Is(err, workerctl.ErrDown) {
+		l.downAt = r.deps.Now()
+	}
+}
+
 // mayHaveBegun reports whether the run is on the worker, or an order of it may
 // have been carried out.
 func (x *run) mayHaveBegun() bool {
--- a/infra/workerctl/workerctl.go
+++ b/infra/workerctl/workerctl.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"persimmonrock.example/structs/workload"
@@ -76,6 +77,9 @@
 	ErrGone = errors.New("worker: another life")
 	// ErrNotDone says that the order had no effect.
 	ErrNotDone = errors.New("worker: not done")
+	// ErrDown says that nothing listens at the worker's address, so that the order
+	// had no effect: the worker has crashed, or is out of reach.
+	ErrDown = fmt.Errorf("nothing listens there: %w", ErrNotDone)
 	// ErrUnknown says that the effect is not known and may come later.
 	ErrUnknown = errors.New("worker: outcome unknown")
 )
--- a/sessions/machines/random_test.go
+++ b/sessions/machines/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -23,10 +24,26 @@
 func TestRandomDays(t *testing.T) {
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/16) })
 	}
 }
 
+// TestRandomDaysOfCrashes plays such days on which a fifth of the jobs crash
+// their workers.
+func TestRandomDaysOfCrashes(t *testing.T) {
+	for i := range max(1, *seeds/3) {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/5) })
+	}
+}
+
+// crashesWorkers draws whether some tasks of a job crash their workers.
+func crashesWorkers(seed uint64, id workload.JobID, share float64) bool {
+	h := fnv.New64a()
+	fmt.Fprint(h, id)
+	return rand.New(rand.NewPCG(seed, h.Sum64())).Float64() < share
+}
+
 // day is one random day.
 type day struct {
 	w   *World
@@ -37,13 +54,13 @@
 	last     []workload.JobID
 }
 
-func randomDay(t *testing.T, seed uint64) {
+func randomDay(t *testing.T, seed uint64, crashing float64) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	outcome := func(r workload.RunID) Outcome {
 		luck := rand.New(rand.NewPCG(seed, uint64(r.Run)<<32|uint64(r.Task.Index)<<16|uint64(len(r.Task.Job))))
 		o := Outcome{For: time.Duration(100+luck.IntN(2500)) * time.Millisecond}
 		o.Fails = r.Task.Job[len(r.Task.Job)-1] == '7' || luck.IntN(25) == 0
-		o.Crashes = r.Task.Job[len(r.Task.Job)-1] == 'b' && r.Task.Index == 0
+		o.Crashes = r.Task.Index%3 == 0 && crashesWorkers(seed, r.Task.Job, crashing)
 		return o
 	}
 	opt := Options{Seed: seed, Entries: 2 + rng.IntN(3), Machines: 2 + rng.IntN(4), Outcome: outcome, Capacity: workload.Resources{CPU: 10000, Memory: 40000}}
@@ -145,6 +162,7 @@
 		func() { w.Cut(agent.Node, true); time.Sleep(wait); w.Cut(agent.Node, false) },
 		func() { w.Cut(entry.Node, true); time.Sleep(wait); w.Cut(entry.Node, false) },
 		func() { agent.Worker().Crash(); time.Sleep(wait / 2); agent.NewWorker() },
+		func() { agent.Worker().Kill(); time.Sleep(wait); agent.NewWorker() },
 		func() { o := agent.Worker(); o.SetDark(true); time.Sleep(wait); o.SetDark(false) },
 		func() { o := agent.Worker(); o.SetLate(0.3); time.Sleep(wait); o.SetLate(0) },
 		func() {
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -61,6 +61,9 @@
 	mu    sync.Mutex
 	rng   *rand.Rand
 	alive bool
+	// refusing says that after its end the worker's address refuses calls, and is
+	// not silent.
+	refusing bool
 	// dark says that no call gets an answer, though what runs goes on.
 	dark bool
 	// late is the share of orders without an answer that are carried out
@@ -148,12 +151,22 @@
 	w.crash(workload.RunID{})
 }
 
+// Kill is Crash with the address of the worker refusing calls.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusing = true
+	w.crash(workload.RunID{})
+}
+
 // crash ends the life; by is the run that is the cause, if any.
 func (w *Worker) crash(by workload.RunID) {
 	if !w.alive {
 		return
 	}
 	w.alive = false
+	close(w.changed)
+	w.changed = make(chan struct{})
 	for _, x := range w.running {
 		x.timer.Stop()
 		w.rules.crashed(x.run, x.run == by)
@@ -181,6 +194,7 @@
 		w.mu.Lock()
 		crashes, then := w.alive && w.running[x.run] == x, w.onCrash
 		if crashes {
+			w.refusing = true
 			w.crash(x.run)
 		}
 		w.mu.Unlock()
@@ -297,9 +311,13 @@
 func (w *Worker) enter(ctx context.Context, life workload.WorkerID, order bool, do func()) error {
 	w.mu.Lock()
 	silent := w.dark || !w.alive
+	refusing := !w.dark && !w.alive && w.refusing
 	late := order && !silent && w.rng.Float64() < w.late
 	delay := 2*time.Second + time.Duration(w.rng.Float64()*float64(10*time.Second))
 	w.mu.Unlock()
+	if refusing {
+		return workerctl.ErrDown
+	}
 	if silent || late {
 		if late {
 			time.AfterFunc(delay, do)
