--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -23,6 +23,7 @@
 	runner  *runner.Runner
 	cancel  context.CancelFunc
 	control *control
+	server  *server
 	// held says that no report of the worker arrives.
 	held bool
 }
@@ -122,7 +123,7 @@
 	must(server.RegisterName("Agent", runner.NewRPC(ctx, r)))
 	a.mu.Lock()
 	if ctx.Err() == nil {
-		w.listen(a.Node, server)
+		a.server = w.listen(a.Node, server)
 	}
 	a.mu.Unlock()
 	r.Run(ctx)
@@ -138,7 +139,8 @@
 	a.cancel()
 	a.control.kill()
 	a.cancel, a.runner = nil, nil
-	a.world.unlisten(a.Node)
+	a.world.unlisten(a.Node, a.server)
+	a.server = nil
 }
 
 // Counters returns the figures of the agent that runs.
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -11,8 +11,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -278,14 +280,13 @@
 		return nil, errNoRoute
 	}
 	time.Sleep(time.Millisecond)
+	near, far := newPipe(func() bool { return w.isCut(from, to) })
 	w.mu.Lock()
 	s := w.servers[to]
-	w.mu.Unlock()
 	if s == nil {
+		w.mu.Unlock()
 		return nil, syscall.ECONNREFUSED
 	}
-	near, far := newPipe(func() bool { return w.isCut(from, to) })
-	w.mu.Lock()
 	s.conns[far] = true
 	w.mu.Unlock()
 	go func() {
@@ -297,22 +298,25 @@
 	return near, nil
 }
 
-func (w *World) listen(address string, s *rpc.Server) {
+// listen serves at an address, instead of what listened there.
+func (w *World) listen(address string, r *rpc.Server) *server {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.servers[address] = &server{rpc: s, conns: map[net.Conn]bool{}}
+	s := &server{rpc: r, conns: map[net.Conn]bool{}}
+	w.servers[address] = s
+	return s
 }
 
-func (w *World) unlisten(address string) {
+// unlisten ends a server, and not the one that has taken its address since.
+func (w *World) unlisten(address string, s *server) {
+	if s == nil {
+		return
+	}
 	w.mu.Lock()
-	s := w.servers[address]
-	delete(w.servers, address)
-	var conns []net.Conn
-	if s != nil {
-		for c := range s.conns {
-			conns = append(conns, c)
-		}
+	if w.servers[address] == s {
+		delete(w.servers, address)
 	}
+	conns := slices.Collect(maps.Keys(s.conns))
 	w.mu.Unlock()
 	for _, c := range conns {
 		_ = c.Close() // a pipe always closes
@@ -333,6 +337,7 @@
 	cancel  context.CancelFunc
 	service *intake.Service
 	elector *scheduler.Elector
+	server  *server
 	done    chan struct{}
 }
 
@@ -373,8 +378,7 @@
 	server := rpc.NewServer()
 	must(server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}))
 	must(server.RegisterName("Relay", around.Service()))
-	w.listen(e.Node, server)
-	p := &entryProcess{cancel: cancel, service: service, elector: elector, done: make(chan struct{})}
+	p := &entryProcess{cancel: cancel, service: service, elector: elector, server: w.listen(e.Node, server), done: make(chan struct{})}
 	e.process = p
 	go around.Run(ctx, e.Node)
 	go config.Run(ctx)
@@ -400,7 +404,7 @@
 	if p == nil {
 		return
 	}
-	e.world.unlisten(e.Node)
+	e.world.unlisten(e.Node, p.server)
 	e.world.Store.SetFault(e.Node, memstore.Silent)
 	p.cancel()
 	<-p.done
@@ -418,7 +422,7 @@
 	}
 	p.cancel()
 	<-p.done
-	e.world.unlisten(e.Node)
+	e.world.unlisten(e.Node, p.server)
 }
 
 func (e *Entry) current() *entryProcess {
