--- a/sessions/soak/deployment_test.go
+++ b/sessions/soak/deployment_test.go
@@ -24,6 +24,8 @@
 	// firstPort is the first port of each process on an address of its own.
 	firstPort = 21700
 	heartbeat = 500 * time.Millisecond
+	// backAfter is how long a worker is away that was crashed by a run.
+	backAfter = 1500 * time.Millisecond
 )
 
 var (
@@ -112,18 +114,29 @@
 	life := s.d.lives
 	s.d.mu.Unlock()
 	info := workload.Worker{ID: workload.WorkerID(fmt.Sprintf("w-%d", life)), Service: queue.Service, Labels: []string{"a", "r1"}, Capacity: capacity}
+	w := machines.NewWorker(info, s.d.rules, outcome, s.d.seed+uint64(life))
+	w.OnCrash(func() {
+		time.Sleep(backAfter)
+		if s.life() == w {
+			s.begin()
+		}
+	})
 	s.mu.Lock()
 	before := s.worker
-	s.worker = machines.NewWorker(info, s.d.rules, outcome, s.d.seed+uint64(life))
+	s.worker = w
 	s.mu.Unlock()
 	if before != nil {
 		before.Crash()
 	}
 }
 
-// outcome lets a task work for 0.2 to 1 s, the same at each run.
+// outcome lets a task work for 0.2 to 1 s, the same at each run; the first task
+// of a crashing client's job crashes its workers.
 func outcome(r workload.RunID) machines.Outcome {
-	return machines.Outcome{For: time.Duration(200+100*((r.Task.Index*7+r.Task.Step*3)%9)) * time.Millisecond}
+	return machines.Outcome{
+		For:     time.Duration(200+100*((r.Task.Index*7+r.Task.Step*3)%9)) * time.Millisecond,
+		Crashes: r.Task.Index == 0 && clientOf(r.Task.Job) == crashing,
+	}
 }
 
 func (s *seat) life() *machines.Worker {
--- a/sessions/soak/faults_test.go
+++ b/sessions/soak/faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonrock.example/infra/rowstore/memstore"
+	"persimmonrock.example/structs/workload"
 )
 
 // fault is one disturbance. It begins when it is called and returns what ends
@@ -81,6 +82,11 @@
 		return func() { d.store.SetFault(node, memstore.Healthy) }
 	}},
 	{"worker crashes", func(d *deployment, rng *rand.Rand) func() { pick(rng, d.seats).begin(); return nil }},
+	{"worker shrinks", func(d *deployment, rng *rand.Rand) func() {
+		w := pick(rng, d.seats).life()
+		w.SetCapacity(workload.Resources{CPU: capacity.CPU / 2, Memory: capacity.Memory / 2})
+		return func() { w.SetCapacity(capacity) }
+	}},
 	{"orders carried out late", func(d *deployment, rng *rand.Rand) func() {
 		w := pick(rng, d.seats).life()
 		w.SetLate(0.3)
--- a/sessions/soak/soak_test.go
+++ b/sessions/soak/soak_test.go
@@ -24,6 +24,9 @@
 
 const (
 	clients = 4
+	// crashing is the client whose jobs crash their workers, one each crashEvery.
+	crashing   = 97
+	crashEvery = 4 * time.Second
 	// settled is how long after the last fault every accepted job is done:
 	// leases of workers that fell silent last, and what waits for them runs.
 	settled = 30 * time.Second
@@ -79,6 +82,8 @@
 	for n := range uint64(*beside) {
 		group.Go(func() { d.disturb(rand.New(rand.NewPCG(seed, n)), until) })
 	}
+	var crashers []workload.JobID
+	group.Go(func() { crashers = d.crash(until) })
 	accepted := make([][]workload.JobID, clients)
 	for n := range clients {
 		group.Go(func() { accepted[n] = d.load(n, until) })
@@ -91,6 +96,9 @@
 			t.Errorf("job %s is %q %v after the last fault", id, state, settled)
 		}
 	}
+	for id, state := range d.client().Await(crashers, settled) {
+		t.Errorf("job %s, which crashes its workers, is %q %v after the last fault", id, state, settled)
+	}
 	if n := d.runningOf(lasting.ID); n != 3 {
 		t.Errorf("%d of 3 lasting tasks run", n)
 	}
@@ -100,7 +108,7 @@
 	if total == 0 {
 		t.Error("no job was accepted")
 	}
-	t.Logf("%d jobs accepted, %d starts", total, d.rules.Started)
+	t.Logf("%d jobs accepted, %d that crash their workers, %d starts, %d crashes", total, len(crashers), d.rules.Started, d.rules.Crashes)
 }
 
 // awaitService waits until a job is done.
@@ -134,6 +142,19 @@
 	return accepted
 }
 
+// crash hands jobs in that crash their workers.
+func (d *deployment) crash(until time.Time) []workload.JobID {
+	c := d.client()
+	var accepted []workload.JobID
+	for n := 0; time.Now().Before(until); n++ {
+		if id := jobID(d.seed, crashing, n); c.Submit(oneJob(id, 2), 4) {
+			accepted = append(accepted, id)
+		}
+		time.Sleep(crashEvery)
+	}
+	return accepted
+}
+
 // runningOf counts the runs of a job, in the second look if the first falls
 // between two lives of a task.
 func (d *deployment) runningOf(id workload.JobID) int {
@@ -159,6 +180,13 @@
 	return workload.Job{ID: id, Queue: queue, Payload: "p" + string(id), Steps: []workload.Step{s, next}}
 }
 
+// clientOf returns the client of a job of jobID.
+func clientOf(id workload.JobID) int {
+	var seed, client int
+	_, _ = fmt.Sscanf(string(id), "%06x%04x", &seed, &client) // 0 for a job of another form
+	return client
+}
+
 func jobID(seed uint64, client, n int) workload.JobID {
 	return workload.JobID(fmt.Sprintf("%06x%04x%06x", seed&0xffffff, client, n))
 }
