Tasks wait for a quarantine only after a crash that speaks against them

Now a task waits if a worker ceased to answer within 250 ms of its start, or two were lost under it; the count and its bounds are as before.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -14,6 +14,9 @@
 	// provenAfter is how long a run has to be on a worker that answers until
 	// the run is no longer taken for the cause of a crash.
 	provenAfter = time.Second
+	// crashSoon is the longest time from the start of a run to the first call that
+	// fails, if the run has crashed its worker at once.
+	crashSoon = 250 * time.Millisecond
 	// downSoon is the longest time from a worker's last answer to the first call
 	// that is refused after a crash: a listing and its pause.
 	downSoon = time.Second
@@ -37,7 +40,8 @@
 	var list []dispatch.FreshRun
 	for id, x := range l.runs {
 		if x.mayHaveBegun() && !x.proven(l.answeredAt) {
-			list = append(list, dispatch.FreshRun{Run: id, Begun: x.state == dispatch.RunPresent && !x.found && l.crashedThen()})
+			begun := x.state == dispatch.RunPresent && !x.found && l.crashedThen()
+			list = append(list, dispatch.FreshRun{Run: id, Begun: begun, Soon: begun && l.failedAt > 0 && l.failedAt-x.presentAt <= crashSoon})
 		}
 	}
 	return list
@@ -49,9 +53,12 @@
 	return !l.lapsed || l.downAt > 0 && l.downAt-l.answeredAt <= downSoon
 }
 
-// noteDown notes that a call was refused by the worker's address, if so. The
-// caller holds mu.
-func (r *Runner) noteDown(l *life, err error) {
+// noteFailed notes that a call was left without an answer, or refused by the
+// worker's address. The caller holds mu.
+func (r *Runner) noteFailed(l *life, err error) {
+	if l.failedAt == 0 && (errors.Is(err, workerctl.ErrUnknown) || errors.Is(err, workerctl.ErrDown)) {
+		l.failedAt = r.deps.Now()
+	}
 	if l.downAt == 0 && errors.Is(err, workerctl.ErrDown) {
 		l.downAt = r.deps.Now()
 	}
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -90,7 +90,7 @@
 
 // answered notes that the worker has answered a call.
 func (r *Runner) answered(l *life) {
-	l.answeredAt, l.downAt = r.deps.Now(), 0
+	l.answeredAt, l.failedAt, l.downAt = r.deps.Now(), 0, 0
 	failures := l.failures
 	l.failures = 0
 	if l.silent {
@@ -208,7 +208,7 @@
 	r.counters.HoldErrors++
 	l.failures++
 	l.unansweredAt = r.deps.Now()
-	r.noteDown(l, err)
+	r.noteFailed(l, err)
 	failures := l.failures
 	first := failures == 1
 	var refused *workerctl.RefusedError
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -215,7 +215,7 @@
 	if r.life != l {
 		return true, ""
 	}
-	r.noteDown(l, err)
+	r.noteFailed(l, err)
 	var refused *workerctl.RefusedError
 	switch {
 	case err == nil:
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -113,9 +113,10 @@
 	clock      clockReading
 	// answeredAt is when the worker last answered.
 	answeredAt time.Duration
-	// downAt is when a call was first refused by its address since then; 0 while
-	// none was.
-	downAt time.Duration
+	// failedAt is when a call was first left without an answer since then, downAt
+	// when one was first refused by its address; 0 while none was.
+	failedAt time.Duration
+	downAt   time.Duration
 	// leaseEnd is when the last lease that was sent is over for certain.
 	leaseEnd time.Duration
 	// failures counts the listings without an answer in a row, unansweredAt
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -30,18 +30,18 @@
 type loss struct {
 	why string
 	// told says that the worker's agent has judged which runs may be the cause;
-	// fresh are those, true for the runs that were there for certain.
+	// fresh are those.
 	told  bool
-	fresh map[workload.RunID]bool
+	fresh map[workload.RunID]dispatch.FreshRun
 	// crashed says that the worker's life is over; it may be out of reach else.
 	crashed bool
 }
 
 // freshRuns is the set of the runs that an agent has named.
-func freshRuns(reply *dispatch.WatchReply) map[workload.RunID]bool {
-	set := make(map[workload.RunID]bool, len(reply.Fresh))
+func freshRuns(reply *dispatch.WatchReply) map[workload.RunID]dispatch.FreshRun {
+	set := make(map[workload.RunID]dispatch.FreshRun, len(reply.Fresh))
 	for _, r := range reply.Fresh {
-		set[r.Run] = r.Begun
+		set[r.Run] = r
 	}
 	return set
 }
@@ -51,8 +51,9 @@
 	job  *job
 	task *task
 	run  workload.RunID
-	// begun says that the run was on the worker for certain.
-	begun bool
+	// begun says that the run was on the worker for certain, soon that the worker
+	// crashed within moments of its start.
+	begun, soon bool
 }
 
 // suspects lists the tasks that may be the cause of a loss. The caller holds
@@ -64,9 +65,9 @@
 		if k == nil || k.storedRun < r.Run {
 			continue
 		}
-		begun, named := how.fresh[r]
+		fresh, named := how.fresh[r]
 		if how.told && named || !how.told && !k.provenOn(w) {
-			list = append(list, suspect{job: j, task: k, run: r, begun: begun})
+			list = append(list, suspect{job: j, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon})
 		}
 	}
 	return list
@@ -96,9 +97,9 @@
 func (t *Term) blame(w *worker, how loss, suspects []suspect) {
 	for _, s := range suspects {
 		s.task.crashes++
-		s.task.crashedAt, s.task.crashedOn = time.Now(), w.agent
+		s.task.crashedAt, s.task.crashedOn, s.task.crashedSoon = time.Now(), w.agent, s.soon
 		t.deps.Counters.Blamed.Add(1)
-		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).
+		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).Bool("soon", s.soon).
 			Msg("run may have crashed its worker")
 	}
 	// A worker that is out of reach is lost once more when its life is known to
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -50,11 +50,12 @@
 	failedAt time.Duration
 	// crashes counts the workers that were lost under the task and that it may
 	// have crashed, since a run of it was last proven; the latest at crashedAt, on
-	// the machine crashedOn. certain are those that crashed under it for certain.
-	crashes   int
-	certain   int
-	crashedAt time.Time
-	crashedOn string
+	// the machine crashedOn, within moments of the start if crashedSoon. certain are those that crashed under it for certain.
+	crashes     int
+	certain     int
+	crashedAt   time.Time
+	crashedOn   string
+	crashedSoon bool
 	// presentAt is when the agent first told that the placed run is on its
 	// worker; 0 before.
 	presentAt time.Duration
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -8,8 +8,8 @@
 	"persimmonrock.example/structs/workload"
 )
 
-// A task under which a worker has crashed starts next in quarantine: on a
-// worker where nothing else has begun of late, and nothing of another job
+// A task under which a worker has crashed within moments of its start, or two
+// have, starts next in quarantine: on a worker where nothing else has begun of late, and nothing of another job
 // begins until it has stood the test. A crash there shows the cause, and costs
 // least where least runs.
 
@@ -18,6 +18,10 @@
 	// starts anywhere: its client must not see a job that stands still beside
 	// free room.
 	quarantinePatience = 2500 * time.Millisecond
+	// quarantineAfter is the number of workers lost under a task from which on it
+	// is quarantined however long they outlived its start. Most of what is lost
+	// once is not the cause, and would wait without need.
+	quarantineAfter = 2
 	// quarantineShare is the part of a service's workers, one at least, that is
 	// in quarantine at the same time.
 	quarantineShare = 1.0 / 4
@@ -36,7 +40,8 @@
 
 // quarantined reports whether the task waits for a quarantine.
 func (k *task) quarantined(now time.Time) bool {
-	return k.state == taskWaiting && k.crashes > 0 && now.Sub(k.crashedAt) < quarantinePatience
+	suspicious := k.crashes >= quarantineAfter || k.crashes > 0 && k.crashedSoon
+	return k.state == taskWaiting && suspicious && now.Sub(k.crashedAt) < quarantinePatience
 }
 
 // quarantined reports whether a task of the step does.
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -165,9 +165,11 @@
 
 // FreshRun is a run that may have crashed its worker. Begun says that it was
 // there for certain, and not for long; else its order may have come too late.
+// Soon says that the worker ceased to answer within moments of its start.
 type FreshRun struct {
 	Run   workload.RunID
 	Begun bool
+	Soon  bool
 }
 
 // RunState is what an agent knows of a run.
