--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -9,15 +9,15 @@
 )
 
 // A task under which a worker has crashed within moments of its start, or two
-// have, starts next in quarantine: on a worker where nothing else has begun of late, and nothing of another job
-// begins until it has stood the test. A crash there shows the cause, and costs
-// least where least runs.
+// have, starts next in quarantine: on a worker where nothing else has begun of
+// late, and nothing of another job begins until it has stood the test. A crash
+// there shows the cause, and costs least where least runs.
 
 const (
 	// quarantinePatience is how long a task waits for a quarantine. Then it
 	// starts anywhere: its client must not see a job that stands still beside
 	// free room.
-	quarantinePatience = 2500 * time.Millisecond
+	quarantinePatience = 2 * time.Second
 	// quarantineAfter is the number of workers lost under a task from which on it
 	// is quarantined however long they outlived its start. Most of what is lost
 	// once is not the cause, and would wait without need.
