Batch path: kinds of job that crash their workers are parked

A kind that crashes its workers was started for ever and never parked.

Jobs don't fail by it.

TestTwoPlaces' model of the owner takes the new end as it takes an eviction; all else is still an error. Not covered: an agent that goes together with its worker, whose tasks are put back without a report.

--- a/agent/batch_test.go
+++ b/agent/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +147,24 @@
 		}
 	})
 }
+
+// Failure guarded against: a task that goes with its worker looks like one that was stopped.
+func TestTaskThatVanishesWithItsWorkerIsToldAsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, t.Context())
+		a, stop := r.agent()
+		defer stop()
+		time.Sleep(time.Second)
+		if why := grant(a, "j1", 1, ""); why != nil {
+			t.Fatal(why)
+		}
+		time.Sleep(2 * time.Second)
+		if err := errors.Join(r.worker.Stop(t.Context(), "j1", 1), r.worker.Forget(t.Context(), "j1", 1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if got, _ := r.entry.report("j1"); got.End != wire.EndLost {
+			t.Errorf("report %+v", got)
+		}
+	})
+}
--- a/agent/tasks/counters.go
+++ b/agent/tasks/counters.go
@@ -5,7 +5,7 @@
 // Counters are what a manager counts.
 type Counters struct {
 	Granted, Started, Refused, RefusedTombstone        atomic.Int64
-	Done, Failed, Evicted, Cancelled, NotStarted       atomic.Int64
+	Done, Failed, Evicted, Lost, Cancelled, NotStarted atomic.Int64
 	Lapsed, WorkerRenewed, WorkerRenewSkipped          atomic.Int64
 	CheckpointPut, CheckpointFailed, CheckpointSkipped atomic.Int64
 	Reported, ReportMessages, Settled, PollFailed      atomic.Int64
@@ -18,7 +18,7 @@
 	return map[string]int64{
 		"granted": c.Granted.Load(), "started": c.Started.Load(), "refused": c.Refused.Load(),
 		"refused_tombstone": c.RefusedTombstone.Load(), "done": c.Done.Load(), "failed": c.Failed.Load(),
-		"evicted": c.Evicted.Load(), "cancelled": c.Cancelled.Load(), "not_started": c.NotStarted.Load(),
+		"evicted": c.Evicted.Load(), "lost": c.Lost.Load(), "cancelled": c.Cancelled.Load(), "not_started": c.NotStarted.Load(),
 		"lapsed": c.Lapsed.Load(), "worker_renewed": c.WorkerRenewed.Load(),
 		"worker_renew_skipped": c.WorkerRenewSkipped.Load(), "checkpoint_put": c.CheckpointPut.Load(),
 		"checkpoint_failed": c.CheckpointFailed.Load(), "checkpoint_skipped": c.CheckpointSkipped.Load(),
--- a/agent/tasks/end.go
+++ b/agent/tasks/end.go
@@ -28,10 +28,20 @@
 	if want, _, _ := t.state(); want == wire.StopCancelled {
 		return t.report(wire.EndCancelled, "")
 	}
+	if t.vanished() {
+		return t.report(wire.EndLost, s.Error)
+	}
 	t.m.Counters.Lapsed.Add(1)
 	return t.report(wire.EndEvicted, "stopped by the worker: "+s.Error)
 }
 
+// vanished reports whether the worker no longer knows of the task.
+func (t *task) vanished() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost
+}
+
 // putUntilDone repeats the put while the object store is down; the task has
 // ended, so nothing but the report waits for it.
 func (t *task) putUntilDone(ctx context.Context, key string, body []byte) bool {
--- a/agent/tasks/task.go
+++ b/agent/tasks/task.go
@@ -30,7 +30,9 @@
 	forced  bool
 	// ended is the worker's word that the task has ended.
 	ended *infra.TaskStatus
-	used  structs.Resources
+	// lost says that the worker no longer knew of the task.
+	lost bool
+	used structs.Resources
 	// progress is for decisions about relief.
 	progress progress
 
@@ -75,6 +77,7 @@
 		return
 	}
 	if status == nil {
+		t.lost = true
 		status = &infra.TaskStatus{Phase: infra.TaskStopped, Error: "not known to the worker"}
 	}
 	t.ended = status
@@ -280,6 +283,8 @@
 		c.Failed.Add(1)
 	case wire.EndEvicted:
 		c.Evicted.Add(1)
+	case wire.EndLost:
+		c.Lost.Add(1)
 	case wire.EndCancelled:
 		c.Cancelled.Add(1)
 	case wire.EndNotStarted:
--- a/agent/twoplaces_test.go
+++ b/agent/twoplaces_test.go
@@ -128,7 +128,7 @@
 				o.worst = fmt.Sprintf("%s is done without a whole result: %v %v", j.id, body, err)
 			}
 			j.state = structs.JobDone
-		case wire.EndEvicted, wire.EndNotStarted:
+		case wire.EndEvicted, wire.EndLost, wire.EndNotStarted:
 			j.state = structs.JobQueued
 			o.resumeFrom(j, r.Checkpoint)
 		default:
--- a/entry/batch/change.go
+++ b/entry/batch/change.go
@@ -133,7 +133,7 @@
 	case wire.EndFailed:
 		j.Failures++
 		j.Reason = r.Error
-	case wire.EndEvicted, wire.EndCancelled:
+	case wire.EndEvicted, wire.EndCancelled, wire.EndLost:
 		j.Evictions++
 	}
 	switch {
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -119,7 +119,8 @@
 	switch e.End {
 	case wire.EndDone:
 		p.health.Report(now, e.Instance, e.Job.Spec.Kind, true)
-	case wire.EndFailed:
+	case wire.EndFailed, wire.EndLost:
+		// A kind that crashes its workers never ends failed.
 		p.health.Report(now, e.Instance, e.Job.Spec.Kind, false)
 	}
 	p.learnSize(e)
--- a/entry/placer_test.go
+++ b/entry/placer_test.go
@@ -162,3 +162,16 @@
 		t.Errorf("runs that were stopped at 8 GB: %d bytes expected", memory)
 	}
 }
+
+// Failure guarded against: a kind of job that crashes its workers is started for ever.
+func TestKindThatCrashesItsWorkersIsParked(t *testing.T) {
+	p := newPlacer(model.New(), oneContract{})
+	for i := range 4 {
+		p.Ended(batch.End{Job: waitingJob(100 + i), Instance: structs.InstanceID(fmt.Sprint("i", i)), End: wire.EndLost})
+	}
+	for _, one := range p.Place(fleet(8)) {
+		if one.Instance != "" {
+			t.Errorf("job %s of a kind that has crashed four workers goes to %s", one.Job, one.Instance)
+		}
+	}
+}
--- a/wire/entry.go
+++ b/wire/entry.go
@@ -88,6 +88,8 @@
 	EndEvicted    TaskEnd = "evicted"
 	EndCancelled  TaskEnd = "cancelled"
 	EndNotStarted TaskEnd = "not_started"
+	// EndLost: the worker no longer knows of the task, which may have crashed it.
+	EndLost TaskEnd = "lost"
 )
 
 // TaskReport tells the shard's owner that a claim has ended and that the task
