--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -57,7 +57,8 @@
 	return map[string]any{
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
-		"suspected": c.Suspected.Load(), "blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
+		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
+		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -49,8 +49,9 @@
 	avoid    workload.WorkerID
 	failedAt time.Duration
 	// crashes counts the workers that were lost under the task and that it may
-	// have crashed, since a run of it was last proven; the latest at crashedAt, on
-	// the machine crashedOn, within moments of the start if crashedSoon. certain are those that crashed under it for certain.
+	// have crashed, since a run of it was last proven, and certain those of them
+	// that crashed under it for certain. The latest was lost at crashedAt, on the
+	// machine crashedOn, within moments of the start if crashedSoon.
 	crashes     int
 	certain     int
 	crashedAt   time.Time
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -20,7 +20,8 @@
 func (t *Term) loseRuns(w *worker, how loss) {
 	suspects := t.suspects(w, how)
 	if w.alive || len(w.runs) > 0 {
-		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Int("suspects", len(suspects)).Str("why", how.why).Msg("worker lost")
+		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Int("suspects", len(suspects)).
+			Str("why", how.why).Msg("worker lost")
 	}
 	w.alive = false
 	for r := range w.runs {
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -83,15 +83,16 @@
 	now := time.Now()
 	s := o.steps[si]
 	suspects := s.quarantined(now)
-	switch {
-	case s.spec.Gang && suspects && t.planQuarantine(v, j, o, si, now):
-	case s.spec.Gang:
-		t.planGang(v, j, o, si)
-	default:
-		t.planStep(v, j, o, si)
-		if suspects {
-			t.planQuarantine(v, j, o, si, now)
+	if s.spec.Gang {
+		// A gang goes as a whole: into quarantine, or past it if no worker holds it.
+		if !suspects || !t.planQuarantine(v, j, o, si, now) {
+			t.planGang(v, j, o, si)
 		}
+		return
+	}
+	t.planStep(v, j, o, si)
+	if suspects {
+		t.planQuarantine(v, j, o, si, now)
 	}
 }
 
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -138,39 +138,55 @@
 }
 
 // quarantineWorker returns the candidate that is in quarantine for the job, or
-// dedicates one to it. Without one, busy says that one may become free.
+// dedicates one to it; else -1, and busy if one may become free.
 func (t *Term) quarantineWorker(v *view, j *job, s *step, now time.Time) (n int, busy bool) {
-	best, dedicated, all := -1, 0, 0
+	own, dedicated, all := v.quarantines(j.spec.ID)
+	switch {
+	case own >= 0 && s.advised(v.workers[own].id, now):
+		return own, true
+	case own >= 0 || dedicated >= max(1, int(quarantineShare*float64(all))):
+		return -1, true
+	}
+	best := v.leastAtStake(s)
+	if best < 0 {
+		return -1, false
+	}
+	w := v.workers[best]
+	w.quarantine = &quarantine{job: j.spec.ID, since: now}
+	v.candidates[best].Barred = true
+	t.deps.Log.Info().Str("job", string(j.spec.ID)).Str("worker", string(w.id)).Int("runs", len(w.runs)).Msg("quarantine")
+	return best, true
+}
+
+// quarantines returns the worker of the service that is dedicated to the job, or
+// -1, and how many of all are dedicated to any.
+func (v *view) quarantines(id workload.JobID) (own, dedicated, all int) {
+	own = -1
 	for i, w := range v.workers {
 		if !w.takes(v.service) {
 			continue
 		}
 		all++
-		if w.quarantine != nil {
-			dedicated++
-			if w.quarantine.job == j.spec.ID {
-				if s.advised(w.id, now) {
-					return i, true
-				}
-				return -1, true
-			}
+		if w.quarantine == nil {
 			continue
 		}
-		if !v.candidates[i].Barred && v.takesStep(i, s) && (best < 0 || s.lessAtStake(w, v.workers[best])) {
-			best = i
+		dedicated++
+		if w.quarantine.job == id {
+			own = i
 		}
 	}
-	if best < 0 {
-		return -1, false
-	}
-	if dedicated >= max(1, int(quarantineShare*float64(all))) {
-		return -1, true
+	return own, dedicated, all
+}
+
+// leastAtStake returns the candidate for a quarantine of the step, or -1.
+func (v *view) leastAtStake(s *step) int {
+	best := -1
+	for i, w := range v.workers {
+		if v.takesStep(i, s) && (best < 0 || s.lessAtStake(w, v.workers[best])) {
+			best = i
+		}
 	}
-	w := v.workers[best]
-	w.quarantine = &quarantine{job: j.spec.ID, since: now}
-	v.candidates[best].Barred = true
-	t.deps.Log.Info().Str("job", string(j.spec.ID)).Str("worker", string(w.id)).Int("runs", len(w.runs)).Msg("quarantine")
-	return best, true
+	return best
 }
 
 // advised reports whether a step that needs permission has it for a worker.
--- a/sessions/machines/crash_test.go
+++ b/sessions/machines/crash_test.go
@@ -169,3 +169,27 @@
 		}
 	})
 }
+
+// Failure guarded against: a worker's crash is put down to runs that had lapsed there long before.
+func TestCrashOfAWorkerThatWasSilentConvictsNobody(t *testing.T) {
+	long := func(workload.RunID) Outcome { return Outcome{For: 20 * second} }
+	play(t, Options{Entries: 2, Machines: 4, Outcome: long}, func(t *testing.T, w *World, c *Client) {
+		j := job(1, 1)
+		j.Steps = j.Steps[:1]
+		submit(t, c, j)
+		for range 2 {
+			time.Sleep(300 * time.Millisecond)
+			at := w.runningOn(JobID(1))
+			if at == nil {
+				t.Error("the job does not run")
+				return
+			}
+			at.Worker().SetDark(true)
+			for w.runningOn(JobID(1)) == nil || w.runningOn(JobID(1)) == at {
+				time.Sleep(20 * time.Millisecond)
+			}
+			at.NewWorker()
+		}
+		expect(t, c, workload.Completed, JobID(1))
+	})
+}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -231,6 +231,18 @@
 	return nil
 }
 
+// runningOn returns the machine on which a run of the job is, or nil.
+func (w *World) runningOn(id workload.JobID) *Agent {
+	for _, a := range w.agents {
+		for _, r := range a.Worker().Running() {
+			if r.Task.Job == id {
+				return a
+			}
+		}
+	}
+	return nil
+}
+
 // power is the processor of an entry's machine.
 func (w *World) power(e *Entry) float64 {
 	for i, x := range w.entries {
