Two tests of the fix: a count read under its lock, a look at the worker kept apart

Found by the whole test command with -race beside eight busy processes, the first run of it on these tests. What they check is as it was.

--- a/agent/batch_test.go
+++ b/agent/batch_test.go
@@ -158,7 +158,8 @@
 		if why := grant(a, "j1", 1, ""); why != nil {
 			t.Fatal(why)
 		}
-		time.Sleep(2 * time.Second)
+		// Between two looks of the agent at the worker.
+		time.Sleep(2*time.Second + 33*time.Millisecond)
 		if err := errors.Join(r.worker.Stop(t.Context(), "j1", 1), r.worker.Forget(t.Context(), "j1", 1)); err != nil {
 			t.Fatal(err)
 		}
--- a/sessions/machines/crash_test.go
+++ b/sessions/machines/crash_test.go
@@ -32,8 +32,8 @@
 func awaitGivenUp(t *testing.T, w *World, c *Client, most int) {
 	t.Helper()
 	expect(t, c, workload.Failed, JobID(crasher))
-	if w.Rules.Crashes > most {
-		t.Errorf("%d workers crashed, more than %d", w.Rules.Crashes, most)
+	if n := w.Rules.Crashes(); n > most {
+		t.Errorf("%d workers crashed, more than %d", n, most)
 	}
 }
 
@@ -132,8 +132,8 @@
 				submit(t, c, job(crasher, 4))
 				for seen := 0; seen < 5; {
 					time.Sleep(20 * time.Millisecond)
-					if w.Rules.Crashes > seen {
-						seen = w.Rules.Crashes
+					if n := w.Rules.Crashes(); n > seen {
+						seen = n
 						f(w)
 					}
 					if c.State(JobID(crasher)).Final() {
--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -22,8 +22,8 @@
 	lastStart time.Duration
 	Started   int
 	Done      int
-	// Crashes counts the workers that were crashed by what they ran.
-	Crashes int
+	// crashes counts the workers that were crashed by what they ran.
+	crashes int
 }
 
 // watched is a job as clients and workers have seen it.
@@ -404,6 +404,13 @@
 	return j != nil && j.brokenGangs[gangRun(run)]
 }
 
+// Crashes counts the workers that were crashed by what they ran.
+func (r *Rules) Crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
 // crashed notes that a run ended with its worker, and whether it was the cause.
 func (r *Rules) crashed(run workload.RunID, cause bool) {
 	r.mu.Lock()
@@ -416,7 +423,7 @@
 	j.lost[run.Task]++
 	if cause {
 		j.crashes[run.Task]++
-		r.Crashes++
+		r.crashes++
 	}
 }
 
--- a/sessions/soak/soak_test.go
+++ b/sessions/soak/soak_test.go
@@ -108,7 +108,7 @@
 	if total == 0 {
 		t.Error("no job was accepted")
 	}
-	t.Logf("%d jobs accepted, %d that crash their workers, %d starts, %d crashes", total, len(crashers), d.rules.Started, d.rules.Crashes)
+	t.Logf("%d jobs accepted, %d that crash their workers, %d starts, %d crashes", total, len(crashers), d.rules.Started, d.rules.Crashes())
 }
 
 // awaitService waits until a job is done.
