Jobs are given up only for crashes that they alone can have caused

What callers would see: a lasting job is given up that crashes nothing.

Cause: one crash among other suspects counted like one without. A job that crashes its workers takes one worker more where its first one ran other fresh work.

--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -14,9 +14,12 @@
 // sees to it that one job alone can be the cause of the next crash.
 
 const (
-	// crashesToFail is the number of workers that crash for certain under a task
-	// until its job is given up, the last one while no other job can be the cause.
+	// crashesToFail is the number of workers that crash for certain under a task,
+	// while no other job can be the cause, until its job is given up.
 	crashesToFail = 2
+	// soonToFail is the number of workers in a row that crash within moments of
+	// the task's start, the last one while no other job can be the cause.
+	soonToFail = 3
 	// maxCrashes is the number of workers that a task may have crashed until its
 	// job is given up in any case.
 	maxCrashes = 5
@@ -97,7 +100,8 @@
 func (t *Term) blame(w *worker, how loss, suspects []suspect) {
 	for _, s := range suspects {
 		s.task.crashes++
-		s.task.crashedAt, s.task.crashedOn, s.task.crashedSoon = time.Now(), w.agent, s.soon
+		s.task.crashedAt, s.task.crashedOn = time.Now(), w.agent
+		s.task.soon = s.task.nextSoon(s.soon)
 		t.deps.Counters.Blamed.Add(1)
 		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).Bool("soon", s.soon).
 			Msg("run may have crashed its worker")
@@ -115,19 +119,30 @@
 	}
 }
 
-// convict counts a crash for certain, and gives up the job that alone can have
-// been the cause, if it is not the first one.
+// nextSoon counts the crashes in a row within moments of a start.
+func (k *task) nextSoon(soon bool) int {
+	if !soon {
+		return 0
+	}
+	return k.soon + 1
+}
+
+// convict counts a crash of which one job alone can be the cause, and gives the
+// job up if that was not the first one. Among several jobs, or once, an innocent
+// task may have begun in the wrong moment.
 func (t *Term) convict(suspects []suspect) {
-	sole := true
 	for _, s := range suspects {
-		if s.begun && s.task.crashes > 0 {
-			s.task.certain++
-			t.mark(s.job)
+		if s.job != suspects[0].job {
+			return
 		}
-		sole = sole && s.job == suspects[0].job
 	}
 	for _, s := range suspects {
-		if sole && s.begun && s.task.certain >= crashesToFail {
+		if !s.begun || s.task.crashes == 0 {
+			continue
+		}
+		s.task.certain++
+		t.mark(s.job)
+		if s.task.certain >= crashesToFail || s.task.soon >= soonToFail {
 			t.giveUp(s)
 		}
 	}
@@ -149,6 +164,6 @@
 	if k.crashes == 0 {
 		return
 	}
-	k.crashes, k.certain = 0, 0
+	k.crashes, k.certain, k.soon = 0, 0, 0
 	t.mark(j)
 }
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -50,13 +50,14 @@
 	failedAt time.Duration
 	// crashes counts the workers that were lost under the task and that it may
 	// have crashed, since a run of it was last proven, and certain those of them
-	// that crashed under it for certain. The latest was lost at crashedAt, on the
-	// machine crashedOn, within moments of the start if crashedSoon.
-	crashes     int
-	certain     int
-	crashedAt   time.Time
-	crashedOn   string
-	crashedSoon bool
+	// that no other job can have crashed. The latest was lost at crashedAt, on the
+	// machine crashedOn. soon counts those in a row that crashed within moments of
+	// the task's start, as far as this term has seen.
+	crashes   int
+	certain   int
+	crashedAt time.Time
+	crashedOn string
+	soon      int
 	// presentAt is when the agent first told that the placed run is on its
 	// worker; 0 before.
 	presentAt time.Duration
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -40,7 +40,7 @@
 
 // quarantined reports whether the task waits for a quarantine.
 func (k *task) quarantined(now time.Time) bool {
-	suspicious := k.crashes >= quarantineAfter || k.crashes > 0 && k.crashedSoon
+	suspicious := k.crashes >= quarantineAfter || k.soon > 0
 	return k.state == taskWaiting && suspicious && now.Sub(k.crashedAt) < quarantinePatience
 }
 
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -123,7 +123,7 @@
 	Run   int `json:"r"`
 	Fails int `json:"f,omitempty"`
 	// Crashes counts the workers that the task may have crashed, Certain those
-	// of them that crashed under it for certain.
+	// of them that no other job can have crashed.
 	Crashes int `json:"x,omitempty"`
 	Certain int `json:"y,omitempty"`
 	// Worker is 1 more than the index of the worker where the run is; 0 is
