Failing test: tasks of a worker that has left wait for its agent's grant

Cause, from the logs: the worker says that it leaves and is gone within 0.2 s; the agent counts its last lease until 18.1 s and is told to stop at 17.7 s, so the scheduler waits for the grant, 6.5 s from the agent's last word.

--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// Leave lets the worker say that it ends, and end.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	worker, r := a.worker, a.runner
+	a.mu.Unlock()
+	if info, _ := worker.Info(); r != nil {
+		r.Left(info.ID)
+	}
+	worker.Kill()
+}
+
 // HoldReports sets whether the worker's reports get lost, though it answers.
 func (a *Agent) HoldReports(held bool) {
 	a.mu.Lock()
