A gang enters a quarantine only if the worker still holds it

Found by reading: the fit was checked when the worker was dedicated, up to two seconds before the gang is placed; a worker that shrank meanwhile was given all of it, on record, until its agent refused the runs that did not fit. TestGangWaitsWhereItNoLongerFits fails on the code before (6 of 4 cores reserved). The tests of crashes use the term that the plan's tests make.

--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -4,20 +4,16 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
 
 // crashTerm is a term with jobs of one task each.
 func crashTerm(ids ...workload.JobID) *Term {
-	t := &Term{jobs: map[workload.JobID]*job{}, workers: map[workload.WorkerID]*worker{}, kick: make(chan struct{}, 1)}
-	t.deps = Deps{Log: zerolog.Nop(), Counters: &Counters{}, Now: func() time.Duration { return time.Hour }}
+	now := time.Hour
+	t := loadedTerm(&now, workload.Queue{Name: "q", Service: "s"})
 	for _, id := range ids {
-		j := newJob(workload.Job{ID: id, Steps: []workload.Step{{Count: 1}}})
-		j.begin(time.Now())
-		t.jobs[id] = j
+		t.addJob(workload.Job{ID: id, Queue: workload.Queue{Name: "q", Service: "s"}, Steps: []workload.Step{{Count: 1}}})
 	}
 	return t
 }
@@ -71,3 +67,23 @@
 		}
 	}
 }
+
+// Failure guarded against: a gang is placed on a worker that has shrunk since it was dedicated to it.
+func TestGangWaitsWhereItNoLongerFits(t *testing.T) {
+	now, at := time.Hour, time.Now()
+	term := loadedTerm(&now, workload.Queue{Name: "q", Service: "s"})
+	w := newWorker("w", "node")
+	w.alive = true
+	w.info = workload.Worker{ID: "w", Service: "s", Capacity: workload.Resources{CPU: 4000}}
+	w.quarantine = &quarantine{job: "a", since: at}
+	term.workers["w"] = w
+	gang := workload.Step{Count: 4, Need: workload.Resources{CPU: 1500}, Gang: true}
+	term.addJob(workload.Job{ID: "a", Queue: workload.Queue{Name: "q", Service: "s"}, Steps: []workload.Step{gang}})
+	j := term.jobs["a"]
+	v := term.newView()
+	v.serve("s")
+	term.planQuarantine(v, j, j.occurrences[0], 0, at)
+	if !w.used.Fits(w.info.Capacity) {
+		t.Errorf("%+v of %+v is reserved", w.used, w.info.Capacity)
+	}
+}
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -121,7 +121,7 @@
 // quarantineGang places a whole gang on candidate n.
 func (t *Term) quarantineGang(v *view, j *job, o *occurrence, si, n int) {
 	s := o.steps[si]
-	if s.waiting < len(s.tasks)-s.done {
+	if s.waiting < len(s.tasks)-s.done || !v.takesStep(n, s) {
 		return
 	}
 	run, checkpoint := s.nextGangRun()
