--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -141,8 +141,9 @@
 // endLife notes that the life is over; nothing of it runs any more.
 func (r *Runner) endLife(why string) {
 	l := r.life
-	r.deps.Log.Info().Str("worker", string(l.id)).Int("runs", len(l.runs)).Stringers("fresh", named(l.fresh())).Str("why", why).Msg("worker gone")
-	r.former = append(r.former, formerLife{id: l.id, fresh: l.fresh(), changed: r.version + 1})
+	fresh := l.fresh()
+	r.deps.Log.Info().Str("worker", string(l.id)).Int("runs", len(l.runs)).Stringers("fresh", named(fresh)).Str("why", why).Msg("worker gone")
+	r.former = append(r.former, formerLife{id: l.id, fresh: fresh, changed: r.version + 1})
 	if len(r.former) > maxFormer {
 		r.former = r.former[1:]
 	}
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -146,15 +146,15 @@
 	begun := r.deps.Now()
 	for try := 1; ctx.Err() == nil; try++ {
 		r.mu.Lock()
+		if r.life != l || x.state != dispatch.RunPending || x.stopping {
+			r.mu.Unlock()
+			return
+		}
 		lease := r.leaseLimit(l)
-		current := r.life == l && x.state == dispatch.RunPending && !x.stopping
 		patience := l.answers.timeout(try)
 		reason := r.hinders(l, lease, begun)
-		x.calling = current && reason == ""
+		x.calling = reason == ""
 		r.mu.Unlock()
-		if !current {
-			return
-		}
 		if reason != "" {
 			r.giveUp(ctx, l, x, reason)
 			return
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -64,7 +64,7 @@
 func (t *Term) suspects(w *worker, how loss) []suspect {
 	var list []suspect
 	for r := range w.runs {
-		j, k := t.placedRun(w, r)
+		j, _, k := t.placedRun(w, r)
 		if k == nil || k.storedRun < r.Run {
 			continue
 		}
@@ -76,17 +76,18 @@
 	return list
 }
 
-// placedRun finds the task of a run that is on record at w.
-func (t *Term) placedRun(w *worker, r workload.RunID) (*job, *task) {
+// placedRun finds the task of a run that is on record at w; it is nil if the
+// task was placed anew or has ended since.
+func (t *Term) placedRun(w *worker, r workload.RunID) (*job, *step, *task) {
 	j := t.jobs[r.Task.Job]
 	if j == nil {
-		return nil, nil
+		return nil, nil, nil
 	}
-	_, k := j.find(r.Task)
+	s, k := j.find(r.Task)
 	if k == nil || k.state != taskPlaced || k.run != r.Run || k.worker != w.id {
-		return nil, nil
+		return nil, nil, nil
 	}
-	return j, k
+	return j, s, k
 }
 
 // provenOn reports whether the placed run was seen on w for long enough.
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -281,10 +281,8 @@
 // met as ordered, so that they are repeated to its agent.
 func (t *Term) orderKnown(w *worker) {
 	for r := range w.runs {
-		if j := t.jobs[r.Task.Job]; j != nil {
-			if _, k := j.find(r.Task); k != nil && k.state == taskPlaced && k.run == r.Run && k.run <= k.storedRun {
-				k.ordered = true
-			}
+		if _, _, k := t.placedRun(w, r); k != nil && k.run <= k.storedRun {
+			k.ordered = true
 		}
 	}
 }
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -25,13 +25,10 @@
 	}
 	w.alive = false
 	for r := range w.runs {
-		j := t.jobs[r.Task.Job]
-		if j != nil {
-			if s, k := j.find(r.Task); k != nil && k.state == taskPlaced && k.run == r.Run && k.worker == w.id {
-				t.deps.Counters.Lost.Add(1)
-				j.release(s, k, "")
-				t.mark(j)
-			}
+		if j, s, k := t.placedRun(w, r); k != nil {
+			t.deps.Counters.Lost.Add(1)
+			j.release(s, k, "")
+			t.mark(j)
 		}
 		w.remove(r)
 	}
@@ -60,12 +57,8 @@
 // worker in any case, and the time until then is better spent elsewhere.
 func (t *Term) evacuate(w *worker) {
 	for r := range w.runs {
-		j := t.jobs[r.Task.Job]
-		if j == nil {
-			continue
-		}
-		s, k := j.find(r.Task)
-		if k != nil && k.state == taskPlaced && k.run == r.Run && (s.spec.Lasting || s.spec.Checkpointing) {
+		_, s, k := t.placedRun(w, r)
+		if k != nil && (s.spec.Lasting || s.spec.Checkpointing) {
 			t.stop(r.Task, k)
 		}
 	}
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -76,7 +76,7 @@
 		if r.Task.Job != id {
 			continue
 		}
-		if _, k := t.placedRun(w, r); k != nil && k.crashes > 0 {
+		if _, _, k := t.placedRun(w, r); k != nil && k.crashes > 0 {
 			return true
 		}
 	}
@@ -241,7 +241,7 @@
 		if r.Task.Job == j.spec.ID {
 			continue
 		}
-		if _, k := t.placedRun(w, r); k != nil && now.Sub(k.placedAt) < quietAfter {
+		if _, _, k := t.placedRun(w, r); k != nil && now.Sub(k.placedAt) < quietAfter {
 			return false
 		}
 	}
