A worker that has said that it ends, and refuses calls, is gone at once

Cause: a worker said that it leaves and was gone 0.2 s later. Its agent went on counting the last lease, until 4.7 s after the end; it was told to stop 4.3 s after it, and the scheduler then waited for the agent's grant. Class: a lease is waited out though its holder has proved that it ended.

Now a life is over once its worker has said that it ends and its address refuses a call. Either alone proves nothing: a worker may serve on for a moment, and a cut may refuse. Runs of such a worker are not taken for what crashed it.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -34,9 +34,12 @@
 }
 
 // fresh lists the runs that may have crashed the worker: they may have begun,
-// and the worker has not answered since they had been there for provenAfter.
-// The caller holds mu.
+// and the worker has not answered since they had been there for provenAfter. A
+// worker that has said that it ends has not crashed. The caller holds mu.
 func (l *life) fresh() []dispatch.FreshRun {
+	if l.left {
+		return nil
+	}
 	var list []dispatch.FreshRun
 	for id, x := range l.runs {
 		if x.mayHaveBegun() && !x.proven(l.answeredAt) {
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -218,6 +218,8 @@
 	switch {
 	case gone && r.life == l:
 		r.endLife("it answers that it is another life")
+	case r.life == l && l.left && l.downAt > 0:
+		r.endLife("it has said that it ends, and nothing listens there")
 	case r.life == l:
 		r.checkSilent(l)
 	}
