Entries log each read of the configuration that fails, and count reads, bytes and times

A feed that was lost said so once, and a feed that was given up while the store answered said nothing: neither attempts nor sizes nor times could be seen, so that the incident's hypotheses could not be told apart.

--- a/cmd/machine/docs_test.go
+++ b/cmd/machine/docs_test.go
@@ -7,8 +7,10 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"persimmonrock.example/agent/runner"
 	"persimmonrock.example/entry/intake"
@@ -66,15 +68,21 @@
 	return names
 }
 
+func follower() *intake.Follower {
+	clock := intake.NewStoreClock(func() time.Duration { return 0 })
+	return intake.NewFollower(nil, intake.ConfigSource{}, zerolog.Nop(), clock)
+}
+
 // An engineer looks a counter up in the page and does not find it, or looks
 // for one that is gone. Each counter that an entry or an agent shows stands in
 // the table of docs/OPERATIONS.md, and no other.
 func TestPageNamesEachCounter(t *testing.T) {
 	var shown []string
 	shown = append(shown, keys(t, "intake", (&intake.Counters{}).Figures())...)
+	shown = append(shown, keys(t, "queue_config", follower().Figures())...)
 	shown = append(shown, keys(t, "scheduler", (&scheduler.Counters{}).Figures())...)
 	shown = append(shown, keys(t, "agent", runner.Counters{})...)
-	named := documented(t, "intake", "scheduler", "agent")
+	named := documented(t, "intake", "queue_config", "scheduler", "agent")
 	slices.Sort(shown)
 	slices.Sort(named)
 	if diff := cmp.Diff(shown, named); diff != "" {
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -80,9 +80,10 @@
 		return err
 	}
 	p.serveMetrics(map[string]func() any{
-		"intake":    func() any { return service.Counters.Figures() },
-		"scheduler": func() any { return counters.Figures() },
-		"store":     func() any { return map[string]int64{"calls": direct.Calls(), "relayed": around.Relayed()} },
+		"intake":       func() any { return service.Counters.Figures() },
+		"queue_config": func() any { return config.Figures() },
+		"scheduler":    func() any { return counters.Figures() },
+		"store":        func() any { return map[string]int64{"calls": direct.Calls(), "relayed": around.Relayed()} },
 	})
 	p.log.Info().Str("clients", p.settings.ClientListen).Str("peers", p.peerAddress()).Msg("entry started")
 	// The configuration is followed while open calls are still answered.
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -11,6 +11,7 @@
 
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
+	"persimmonrock.example/ops/histogram"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -50,6 +51,29 @@
 	heard atomic.Int64
 	now   func() time.Duration
 	clock *StoreClock
+	// Counters are the figures of the reads.
+	Counters FollowerCounters
+}
+
+// FollowerCounters are the figures of a follower: reads of the operator's rows
+// begun and failed, and the bytes of their values.
+type FollowerCounters struct {
+	Reads, Failed, Bytes atomic.Int64
+	// Took is the time of a read that succeeded, with the wait of the feed.
+	Took histogram.Latency
+}
+
+// Figures are the counters as they are shown, with the version in force and the
+// time since the store last answered.
+func (f *Follower) Figures() map[string]any {
+	version := uint64(0)
+	if c := f.current.Load(); c != nil {
+		version = c.Version
+	}
+	return map[string]any{
+		"version": version, "heard_ms": f.Heard().Milliseconds(), "reads": f.Counters.Reads.Load(),
+		"reads_failed": f.Counters.Failed.Load(), "bytes": f.Counters.Bytes.Load(), "read_ms": f.Counters.Took.Summary(),
+	}
 }
 
 // NewFollower returns a follower without a configuration. It sets clock by each
@@ -91,6 +115,8 @@
 				f.log.Warn().Err(err).Msg("configuration feed lost")
 			}
 			failing = true
+			f.Counters.Failed.Add(1)
+			f.log.Info().Err(err).Bool("feed", listed).Dur("took", f.now()-asked).Msg("configuration not read")
 			// After any fault of the feed the rows themselves are read: a feed
 			// may have been silent while changes were made.
 			listed = listed && !errors.Is(err, rowstore.ErrCompacted) && !errors.Is(err, rowstore.ErrUnknown)
@@ -101,13 +127,14 @@
 			failing = false
 			f.log.Warn().Msg("configuration feed regained")
 		}
+		f.Counters.Took.Observe(f.now() - asked)
 		f.takeDrains(rows, at, listed)
 		f.answered(asked, listed)
 		f.clock.Set(at)
 		after, listed = max(after, at.Version), true
 		for _, row := range rows {
 			if row.Key == f.source.Key && !row.Deleted {
-				f.take(row)
+				f.take(row, f.now()-asked)
 			}
 		}
 	}
@@ -115,6 +142,7 @@
 
 // read lists the operator's rows, or waits for their changes after a version.
 func (f *Follower) read(ctx context.Context, after uint64, listed bool) ([]rowstore.Row, rowstore.Stamp, error) {
+	f.Counters.Reads.Add(1)
 	call, cancel := context.WithTimeout(ctx, configCall)
 	defer cancel()
 	if listed {
@@ -173,7 +201,9 @@
 	f.log.Info().Strs("data_centres", next.Names()).Uint64("version", next.Version).Msg("drained data centres")
 }
 
-func (f *Follower) take(row rowstore.Row) {
+// take puts a configuration into force that a read of this duration brought.
+func (f *Follower) take(row rowstore.Row, took time.Duration) {
+	f.Counters.Bytes.Add(int64(len(row.Value)))
 	c, err := f.source.Parse(row.Value)
 	if err != nil {
 		f.log.Error().Err(err).Uint64("row", row.Version).Msg("configuration can't be read; the last one stays in force")
@@ -183,5 +213,6 @@
 		return
 	}
 	f.current.Store(c)
-	f.log.Info().Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("services", len(c.Services)).Msg("configuration in force")
+	f.log.Info().Uint64("version", c.Version).Int("queues", len(c.Queues)).Int("services", len(c.Services)).
+		Int("bytes", len(row.Value)).Uint64("row", row.Version).Dur("took", took).Msg("configuration in force")
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -220,6 +220,7 @@
 		}
 		if bounded.Err() != nil && ctx.Err() == nil && errors.Is(a.err, rowstore.ErrUnknown) {
 			if at, ok := s.stillAnswers(ctx); ok {
+				s.log.Info().Err(a.err).Str("table", table).Uint64("after", after).Dur("took", time.Since(begun)).Msg("feed given up; the store answers")
 				return answer{at: rowstore.Stamp{Version: after, Now: at.Now}}
 			}
 		}
