--- a/infra/rowstore/memstore/memstore.go
+++ b/infra/rowstore/memstore/memstore.go
@@ -27,10 +27,13 @@
 	Silent
 )
 
+// AnswerTime is that of the users' store for a read.
+const AnswerTime = 4 * time.Millisecond
+
 const (
 	// txnTime and answerTime are those of the users' store.
 	txnTime    = 8 * time.Millisecond
-	answerTime = 4 * time.Millisecond
+	answerTime = AnswerTime
 	// partQueue is how long transactions of one part may wait for each other
 	// before more are turned away.
 	partQueue = time.Second
@@ -56,6 +59,12 @@
 	slow    float64
 	lost    float64
 	late    bool
+	// mute is the share of the reads that get no answer.
+	mute float64
+	// rate is the speed of each client's link in bytes a second, 0 unbounded,
+	// and sent until when each link is taken.
+	rate float64
+	sent map[string]time.Time
 	// busy is until when the transactions of each part take.
 	busy map[string]time.Time
 
@@ -66,7 +75,7 @@
 func New(seed uint64) *Store {
 	return &Store{
 		rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), rows: map[rowstore.Key]rowstore.Row{},
-		changed: make(chan struct{}), faults: map[string]Fault{}, slow: 1, busy: map[string]time.Time{},
+		changed: make(chan struct{}), faults: map[string]Fault{}, slow: 1, busy: map[string]time.Time{}, sent: map[string]time.Time{},
 	}
 }
 
@@ -96,6 +105,29 @@
 	s.lost, s.late = share, late
 }
 
+// SetMute leaves a share of the reads without an answer, as on connections that
+// have fallen silent.
+func (s *Store) SetMute(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = share
+}
+
+// SetRate sets the speed of each client's link in bytes a second; 0 does not
+// bound it. The answers that a client reads at the same time share its link.
+func (s *Store) SetRate(bytes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate = bytes
+}
+
+// Calm reports whether a client's calls meet no fault.
+func (s *Store) Calm(client string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all == Healthy && s.faults[client] == Healthy && s.slow == 1 && s.lost == 0 && s.mute == 0
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -132,6 +164,44 @@
 	name  string
 }
 
+// bound ends a call that the client's adapter would give up.
+func (c *client) bound(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, wait+silence)
+}
+
+// chunk is how many bytes of an answer a link carries at a time.
+const chunk = 16 << 10
+
+// receive waits until the client's link has carried the values of rows.
+func (c *client) receive(ctx context.Context, rows []rowstore.Row) error {
+	size := 0
+	for _, r := range rows {
+		size += len(r.Value)
+	}
+	for ; size > 0; size -= chunk {
+		if !wait.For(ctx, c.carry(min(size, chunk))) {
+			return rowstore.ErrUnknown
+		}
+	}
+	return nil
+}
+
+// carry returns how long the link takes until it has carried n bytes more.
+func (c *client) carry(n int) time.Duration {
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rate == 0 {
+		return 0
+	}
+	now := time.Now()
+	if s.sent[c.name].Before(now) {
+		s.sent[c.name] = now
+	}
+	s.sent[c.name] = s.sent[c.name].Add(time.Duration(float64(n) / s.rate * float64(time.Second)))
+	return s.sent[c.name].Sub(now)
+}
+
 // enter counts a call, waits its time and reports a fault.
 func (c *client) enter(ctx context.Context, took time.Duration, write bool) error {
 	s := c.store
@@ -143,6 +213,9 @@
 	}
 	fault := max(s.all, s.faults[c.name])
 	took = time.Duration(float64(took) * s.slow)
+	if !write && fault == Healthy && s.mute > 0 && s.rng.Float64() < s.mute {
+		fault = Silent
+	}
 	s.mu.Unlock()
 	switch fault {
 	case Refused:
@@ -286,10 +359,19 @@
 
 // List implements rowstore.Store.
 func (c *client) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
+	ctx, cancel := c.bound(ctx, 0)
+	defer cancel()
 	if err := c.enter(ctx, answerTime, false); err != nil {
 		return nil, false, rowstore.Stamp{}, err
 	}
-	s := c.store
+	rows, more, at := c.store.list(table, part, from, to)
+	if err := c.receive(ctx, rows); err != nil {
+		return nil, false, rowstore.Stamp{}, err
+	}
+	return rows, more, at, nil
+}
+
+func (s *Store) list(table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []rowstore.Row
@@ -303,7 +385,7 @@
 	if more {
 		rows = rows[:pageRows]
 	}
-	return rows, more, s.stamp(), nil
+	return rows, more, s.stamp()
 }
 
 // pageRows is the largest page of rows.
@@ -311,10 +393,22 @@
 
 // Feed implements rowstore.Store.
 func (c *client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
+	ctx, cancel := c.bound(ctx, wait)
+	defer cancel()
 	if err := c.enter(ctx, answerTime, false); err != nil {
 		return nil, rowstore.Stamp{}, err
 	}
-	s := c.store
+	rows, at, err := c.store.follow(ctx, table, after, wait)
+	if err == nil {
+		err = c.receive(ctx, rows)
+	}
+	if err != nil {
+		return nil, rowstore.Stamp{}, err
+	}
+	return rows, at, nil
+}
+
+func (s *Store) follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/sessions/machines/random_test.go
+++ b/sessions/machines/random_test.go
@@ -24,7 +24,16 @@
 func TestRandomDays(t *testing.T) {
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/16) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/16, (*day).fault) })
+	}
+}
+
+// TestRandomDaysOfChanges plays such days with few faults but those that keep
+// the entries from reading the configuration.
+func TestRandomDaysOfChanges(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 0, (*day).readFault) })
 	}
 }
 
@@ -33,7 +42,7 @@
 func TestRandomDaysOfCrashes(t *testing.T) {
 	for i := range max(1, *seeds/3) {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/5) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/5, (*day).fault) })
 	}
 }
 
@@ -54,7 +63,7 @@
 	last     []workload.JobID
 }
 
-func randomDay(t *testing.T, seed uint64, crashing float64) {
+func randomDay(t *testing.T, seed uint64, crashing float64, fault func(*day) func()) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	outcome := func(r workload.RunID) Outcome {
 		luck := rand.New(rand.NewPCG(seed, uint64(r.Run)<<32|uint64(r.Task.Index)<<16|uint64(len(r.Task.Job))))
@@ -72,15 +81,20 @@
 		stop := make(chan bool)
 		ended := make(chan bool)
 		go func() {
-			d.faults(stop)
+			d.faults(stop, func() func() { return fault(d) })
 			close(ended)
 		}()
+		changed := make(chan bool)
+		go func() {
+			d.change(rand.New(rand.NewPCG(seed, 103)), ended)
+			close(changed)
+		}()
 		for n := range 30 {
 			d.handIn(c, n)
 			time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
 		}
 		close(stop)
-		<-ended
+		<-changed
 		for _, id := range d.last {
 			c.Cancel(id)
 		}
@@ -120,7 +134,7 @@
 }
 
 // faults lets one fault after the other happen, some of them together.
-func (d *day) faults(stop chan bool) {
+func (d *day) faults(stop chan bool, fault func() func()) {
 	done := make(chan bool)
 	running := 0
 	for open := true; open; {
@@ -130,7 +144,7 @@
 			continue
 		case <-time.After(time.Duration(d.faultRNG.IntN(3000)) * time.Millisecond):
 		}
-		f := d.fault()
+		f := fault()
 		running++
 		go func() {
 			f()
@@ -194,3 +208,51 @@
 	}
 	return faults[d.faultRNG.IntN(len(faults))]
 }
+
+// change changes the configuration until the faults have ended; some changes are
+// large, and some can't be read.
+func (d *day) change(rng *rand.Rand, ended chan bool) {
+	d.w.Store.SetRate(slowLink * float64(1+rng.IntN(20)))
+	for version := uint64(1); ; {
+		if rng.IntN(8) == 0 {
+			d.w.ConfigureUnreadable()
+		} else {
+			version += 1 + rng.Uint64N(4)
+			d.w.Configure(version, rng.IntN(4)/3*rng.IntN(2*largeConfig))
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(time.Duration(100+rng.IntN(4000)) * time.Millisecond):
+		}
+	}
+}
+
+// readFault draws a fault that bears on who reads the configuration.
+func (d *day) readFault() func() {
+	w, rng := d.w, d.faultRNG
+	entry := w.Entries()[rng.IntN(len(w.Entries()))]
+	wait := time.Duration(500+rng.IntN(9000)) * time.Millisecond
+	slow, mute := float64(20+rng.IntN(2*verySlow)), rng.Float64()/2
+	faults := []func(){
+		func() { w.Store.SetSlow(slow); time.Sleep(wait); w.Store.SetSlow(1) },
+		func() { w.Store.SetSlow(slow); time.Sleep(wait); w.Store.SetSlow(1) },
+		func() { w.Store.SetMute(mute); time.Sleep(wait); w.Store.SetMute(0) },
+		func() { entry.Kill(); time.Sleep(wait / 4); entry.Start() },
+		func() { entry.Stop(); time.Sleep(wait / 8); entry.Start() },
+		func() { w.Cut(entry.Node, true); time.Sleep(wait); w.Cut(entry.Node, false) },
+		func() { w.HideOperator(entry.Node, true); time.Sleep(wait); w.HideOperator(entry.Node, false) },
+		func() { w.Store.Compact() },
+		func() {
+			w.Store.SetFault(entry.Node, memstore.Silent)
+			time.Sleep(wait)
+			w.Store.SetFault(entry.Node, memstore.Healthy)
+		},
+		func() {
+			w.Store.SetFault("", memstore.Silent)
+			time.Sleep(wait / 2)
+			w.Store.SetFault("", memstore.Healthy)
+		},
+	}
+	return faults[rng.IntN(len(faults))]
+}
--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -73,6 +73,13 @@
 	return broken
 }
 
+// report notes a breach that was seen outside of what the rules watch.
+func (r *Rules) report(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breach(format, args...)
+}
+
 func (r *Rules) breach(format string, args ...any) {
 	r.broken = append(r.broken, fmt.Sprintf(format, args...))
 }
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -82,6 +82,8 @@
 	hidden map[string]bool
 	lives  int
 	closed bool
+	// configs is what the operator has confirmed; nil before the first one.
+	configs *configWatch
 }
 
 // server is what listens at an address.
@@ -201,7 +203,7 @@
 // Drain drains a data centre, or takes that back. The operator reaches the
 // store whatever its faults.
 func (w *World) Drain(dataCentre string, drained bool) {
-	key := rowstore.Key{Table: noConfig.Key.Table, Key: drainKey + dataCentre}
+	key := rowstore.Key{Table: operatorRows.Key.Table, Key: drainKey + dataCentre}
 	txn := rowstore.Txn{Deletes: []rowstore.Key{key}}
 	if drained {
 		txn = rowstore.Txn{Puts: []rowstore.Put{{Key: key, Value: []byte("{}")}}}
@@ -356,11 +358,8 @@
 // drainKey begins the key of a drain.
 const drainKey = "drain/"
 
-// noConfig is a source of configuration that is never written: the tests set
-// queues by themselves.
-var noConfig = intake.ConfigSource{Key: rowstore.Key{Table: "op", Key: "config"}, Parse: func([]byte) (*workload.Config, error) {
-	return nil, errors.New("no configuration")
-}, Drained: func(key rowstore.Key) (string, bool, error) {
+// operatorRows is where the operator's rows are.
+var operatorRows = intake.ConfigSource{Key: rowstore.Key{Table: "op", Key: "config"}, Parse: parseConfig, Drained: func(key rowstore.Key) (string, bool, error) {
 	name, ok := strings.CutPrefix(key.Key, drainKey)
 	return name, ok, nil
 }}
@@ -380,7 +379,7 @@
 	around := relay.New(direct, e.Node, w.link(e.Node), log)
 	rows := settle.New(around)
 	clock := intake.NewStoreClock(w.now)
-	config := intake.NewFollower(rows, noConfig, log, clock)
+	config := intake.NewFollower(rows, operatorRows, log, clock)
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Power: w.power(e), Grant: grant, StatusFor: 2 * time.Minute,
 	}, scheduler.Deps{
@@ -470,7 +469,7 @@
 func (c *cutStore) hides(table string) bool {
 	c.world.mu.Lock()
 	defer c.world.mu.Unlock()
-	return table == noConfig.Key.Table && c.world.hidden[c.node]
+	return table == operatorRows.Key.Table && c.world.hidden[c.node]
 }
 
 func (c *cutStore) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
