--- a/sessions/machines/jobs_test.go
+++ b/sessions/machines/jobs_test.go
@@ -114,7 +114,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(), clientDeadline)
 		defer cancel()
 		begun := time.Now()
+		w.Rules.handIn(job(1, 1))
 		err := w.Entries()[0].Service().Submit(ctx, queue(), job(1, 1))
+		w.Rules.answered(job(1, 1).ID, false, false)
 		if !errors.Is(err, workload.ErrUndecided) {
 			t.Errorf("answer %v, and the write may take effect yet", err)
 		}
