Reads of the configuration are raced, not cut and begun anew

Cause: a time-out on a whole read that a slow store or a large answer does not fit in, with each attempt thrown away. The follower gave up after 1.3 s, the store's client after 1.5 s, relay.Feed after 0.6 s, silently, though bytes were arriving; other entries' calls ended after 0.9 s, and each one that failed in the slow store was avoided for up to 8 s after it. Class: bounds on the duration of work where the bound should be on its silence, and retries that start from nothing.

Now the store's client bounds the store's silence. A read whose answer shows no sign is left under way, and others are begun beside it, each 0.6 s, three at most; the first sign of an answer ends the others, so that they do not share its link. Other entries are asked for the configuration only if a small read shows that they are answered and this one is not: in a slow store they only burdened each other's links. After a feed that was late the rows are listed, one copy of each however many changes there were. The configuration has connections of its own. How old the drained data centres may be counts from when they were asked for, no longer from the answer; an answer that was late does not set the store's clock.

Elsewhere: feeds and lists of the scheduler go the same way (a feed of jobs was cut after 908 ms while the store answered), and relayed reads are bounded by 3 s.

Ruled out: late answers that go back (versions only rise), the processor (in force 0.1 s after the read).

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -28,6 +28,9 @@
 	// lingerAfterStop is how long a stopping entry serves calls on open
 	// connections, while the balancer learns that it is not ready.
 	lingerAfterStop = 1200 * time.Millisecond
+	// configSilence bounds the silence of the store in one attempt to read the
+	// operator's rows. Others are made beside it.
+	configSilence = 10 * time.Second
 	// stopReserve is kept of the time to the kill.
 	stopReserve = 700 * time.Millisecond
 )
@@ -55,7 +58,7 @@
 	around := relay.New(direct, p.peerAddress(), dispatch.NewLink, p.log)
 	rows := settle.New(around)
 	clock := intake.NewStoreClock(sinceBoot)
-	config := intake.NewFollower(rows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
+	config := intake.NewFollower(around.Reader(direct.Patient(configSilence)), intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
 	counters := &scheduler.Counters{}
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(), Power: p.settings.Cores,
--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"persimmonrock.example/infra/progress"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/ops/histogram"
@@ -20,9 +21,15 @@
 	// long a connection that fell silent goes unnoticed. A change has to be
 	// in force within 2 s.
 	configWait = 500 * time.Millisecond
-	// configCall bounds a call with its wait: a store that does not answer is
-	// to be noticed, and its return, too.
-	configCall = 1300 * time.Millisecond
+	// feedSilence bounds the silence of the store beyond the wait of a feed.
+	// After it the rows themselves are read: a feed brings each change of the
+	// meantime, and a list the latest one alone.
+	feedSilence = 400 * time.Millisecond
+	// configLate is how long a read takes until it is said that the feed is
+	// lost, and its answer no longer sets the clock of the store.
+	configLate = 1300 * time.Millisecond
+	// configCall bounds a read: what goes on for so long is begun anew.
+	configCall = 20 * time.Second
 	// configRetry is the pause after a read that failed.
 	configRetry = 100 * time.Millisecond
 )
@@ -42,13 +49,16 @@
 // Follower keeps the newest configuration, and the drained data centres.
 // Versions only go up within a process.
 type Follower struct {
-	store   rowstore.Store
+	store   rowstore.Reader
 	source  ConfigSource
 	log     zerolog.Logger
 	current atomic.Pointer[workload.Config]
 	drains  atomic.Pointer[workload.Drains]
-	// heard is when the store last answered, on now's clock.
-	heard atomic.Int64
+	// heard is when the store last answered, on now's clock, confirmed the
+	// latest moment of which its answers told.
+	heard, confirmed atomic.Int64
+	// lost says that it was said that the feed is lost.
+	lost  atomic.Bool
 	now   func() time.Duration
 	clock *StoreClock
 	// Counters are the figures of the reads.
@@ -84,7 +94,7 @@
 // job then counts as overdue, and waits behind all others, or stays in time for
 // ever. No job is accepted without a configuration, so the answer that brought
 // it has set the clock.
-func NewFollower(store rowstore.Store, source ConfigSource, log zerolog.Logger, clock *StoreClock) *Follower {
+func NewFollower(store rowstore.Reader, source ConfigSource, log zerolog.Logger, clock *StoreClock) *Follower {
 	f := &Follower{store: store, source: source, log: log, now: clock.now, clock: clock}
 	f.drains.Store(&workload.Drains{})
 	return f
@@ -97,7 +107,7 @@
 // confirmed that they are the ones.
 func (f *Follower) Drains() (workload.Drains, time.Duration) {
 	// The age is read first: it must not be that of a later answer.
-	age := f.Heard()
+	age := f.now() - time.Duration(f.confirmed.Load())
 	return *f.drains.Load(), age
 }
 
@@ -106,15 +116,12 @@
 
 // Run follows the operator's rows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	after, listed, failing := uint64(0), false, false
+	after, listed := uint64(0), false
 	for ctx.Err() == nil {
 		asked := f.now()
 		rows, at, err := f.read(ctx, after, listed)
 		if err != nil {
-			if !failing && ctx.Err() == nil {
-				f.log.Warn().Err(err).Msg("configuration feed lost")
-			}
-			failing = true
+			f.sayLost(ctx, err)
 			f.Counters.Failed.Add(1)
 			f.log.Info().Err(err).Bool("feed", listed).Dur("took", f.now()-asked).Msg("configuration not read")
 			// After any fault of the feed the rows themselves are read: a feed
@@ -123,14 +130,15 @@
 			wait.For(ctx, configRetry)
 			continue
 		}
-		if failing {
-			failing = false
-			f.log.Warn().Msg("configuration feed regained")
+		if f.lost.Swap(false) {
+			f.log.Warn().Dur("took", f.now()-asked).Msg("configuration feed regained")
 		}
 		f.Counters.Took.Observe(f.now() - asked)
 		f.takeDrains(rows, at, listed)
-		f.answered(asked, listed)
-		f.clock.Set(at)
+		f.answered(asked, listed, len(rows) > 0)
+		if f.now()-asked < configLate || f.current.Load() == nil {
+			f.clock.Set(at)
+		}
 		after, listed = max(after, at.Version), true
 		for _, row := range rows {
 			if row.Key == f.source.Key && !row.Deleted {
@@ -145,19 +153,34 @@
 	f.Counters.Reads.Add(1)
 	call, cancel := context.WithTimeout(ctx, configCall)
 	defer cancel()
+	late := time.AfterFunc(configLate, func() { f.sayLost(ctx, errLate) })
+	defer late.Stop()
 	if listed {
+		call, cancel := progress.Bound(call, configWait+feedSilence)
+		defer cancel()
 		return f.store.Feed(call, f.source.Key.Table, after, configWait)
 	}
 	return rowstore.ListAll(call, f.store, f.source.Key.Table, f.source.Key.Part)
 }
 
-// answered notes an answer of the store. What a feed says holds at its end; a
-// list may have been read as early as it was asked for.
-func (f *Follower) answered(asked time.Duration, feed bool) {
-	if feed {
-		asked = f.now()
+var errLate = errors.New("no answer yet")
+
+// sayLost says once that the feed is lost, until it is regained.
+func (f *Follower) sayLost(ctx context.Context, err error) {
+	if ctx.Err() == nil && !f.lost.Swap(true) {
+		f.log.Warn().Err(err).Msg("configuration feed lost")
+	}
+}
+
+// answered notes an answer of the store. A list, or a feed with changes, may tell
+// of the moment in which it was asked for; a feed without any has waited.
+func (f *Follower) answered(asked time.Duration, feed, changes bool) {
+	now := f.now()
+	f.heard.Store(int64(now))
+	if feed && !changes {
+		asked = min(now, asked+configWait)
 	}
-	f.heard.Store(int64(asked))
+	f.confirmed.Store(int64(asked))
 }
 
 // takeDrains takes the changes of the drains, or all of them from a list. A list
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,8 +18,10 @@
 )
 
 const (
-	// callTimeout bounds a call through another entry beside its own wait.
+	// callTimeout bounds a transaction through another entry, and readTimeout a
+	// read beside its own wait: another way is tried beside it before that.
 	callTimeout = 900 * time.Millisecond
+	readTimeout = 3 * time.Second
 	// leastPatience and mostPatience bound how long a feed's answer is waited
 	// for beyond its wait, by the times of earlier reads. The slowest store that
 	// the users describe takes 0.3 s for one.
@@ -190,47 +191,12 @@
 
 // List implements rowstore.Store.
 func (s *Store) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
-	a := s.either(ctx, func() (a answer) {
-		begun := time.Now()
-		a.rows, a.more, a.at, a.err = s.direct.List(ctx, table, part, from, to)
-		s.observe(a.err, time.Since(begun))
-		return a
-	}, func(l *dispatch.Link) answer {
-		var reply dispatch.RowsReply
-		args := dispatch.ListArgs{Table: table, Part: part, From: from, To: to}
-		return relayed(&reply, l.Call(ctx, "Relay.List", args, &reply, callTimeout))
-	})
-	return a.rows, a.more, a.at, a.err
+	return s.reader().List(ctx, table, part, from, to)
 }
 
 // Feed implements rowstore.Store.
-//
-// A feed answers after its wait at the latest, and one is always under way, so
-// it is the first to miss the answers of a store that has fallen silent towards
-// this machine. It gives up sooner than other calls for that, unless the store
-// only turns out to be slow.
 func (s *Store) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
-	a := s.either(ctx, func() (a answer) {
-		bounded, cancel := context.WithTimeout(ctx, wait+s.patience())
-		defer cancel()
-		begun := time.Now()
-		a.rows, a.at, a.err = s.direct.Feed(bounded, table, after, wait)
-		if len(a.rows) == 0 {
-			s.observe(a.err, time.Since(begun)-wait)
-		}
-		if bounded.Err() != nil && ctx.Err() == nil && errors.Is(a.err, rowstore.ErrUnknown) {
-			if at, ok := s.stillAnswers(ctx); ok {
-				s.log.Info().Err(a.err).Str("table", table).Uint64("after", after).Dur("took", time.Since(begun)).Msg("feed given up; the store answers")
-				return answer{at: rowstore.Stamp{Version: after, Now: at.Now}}
-			}
-		}
-		return a
-	}, func(l *dispatch.Link) answer {
-		var reply dispatch.RowsReply
-		args := dispatch.FeedArgs{Table: table, After: after, Wait: wait}
-		return relayed(&reply, l.Call(ctx, "Relay.Feed", args, &reply, wait+callTimeout))
-	})
-	return a.rows, a.at, a.err
+	return s.reader().Feed(ctx, table, after, wait)
 }
 
 // observe takes the time of a read by the direct way.
--- a/entry/relay/service.go
+++ b/entry/relay/service.go
@@ -25,7 +25,7 @@
 
 // List implements the call of that name.
 func (r *Service) List(args dispatch.ListArgs, reply *dispatch.RowsReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	rows, more, at, err := r.store.List(ctx, args.Table, args.Part, args.From, args.To)
 	reply.Rows, reply.More, reply.At = rows, more, at
@@ -35,7 +35,7 @@
 
 // Feed implements the call of that name.
 func (r *Service) Feed(args dispatch.FeedArgs, reply *dispatch.RowsReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+readTimeout)
 	defer cancel()
 	rows, at, err := r.store.Feed(ctx, args.Table, args.After, args.Wait)
 	reply.Rows, reply.At = rows, at
--- a/entry/relay/ways.go
+++ b/entry/relay/ways.go
@@ -11,11 +11,22 @@
 	"persimmonrock.example/wire/dispatch"
 )
 
-// stillAnswers asks the store by the direct way and through another entry, and
-// reports whether the direct way answers about as soon: a store that is slow
-// for all is not lost, and calls that were made twice would only be more work
-// for it.
-func (s *Store) stillAnswers(ctx context.Context) (rowstore.Stamp, bool) {
+// ways says which ways to the store were found to answer.
+type ways uint8
+
+const (
+	// directAnswers: the direct way answers about as soon as another entry's.
+	directAnswers ways = iota
+	// onlyOthersAnswered: another entry was answered, and this one was not.
+	onlyOthersAnswered
+	// noneAnswers: neither was; the store may be away, or slow.
+	noneAnswers
+)
+
+// compare asks the store by the direct way and through another entry: a store
+// that is slow for all is not lost, and calls that were made twice would only be
+// more work for it.
+func (s *Store) compare(ctx context.Context) ways {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	direct, around := make(chan answer, 1), make(chan answer, 1)
@@ -26,15 +37,31 @@
 	for {
 		select {
 		case a := <-direct:
-			return a.at, a.err == nil
+			if a.err == nil {
+				return directAnswers
+			}
+			if late != nil {
+				return onlyOthersAnswered
+			}
+			if around == nil {
+				return noneAnswers
+			}
+			direct = nil
 		case a := <-around:
+			if direct == nil {
+				if a.err == nil {
+					return onlyOthersAnswered
+				}
+				return noneAnswers
+			}
 			if a.err == nil {
 				timer := time.NewTimer(max(leastPatience, 2*time.Since(begun)))
 				defer timer.Stop()
 				late = timer.C
 			}
+			around = nil
 		case <-late:
-			return rowstore.Stamp{}, false
+			return onlyOthersAnswered
 		}
 	}
 }
@@ -58,7 +85,7 @@
 		return answer{err: rowstore.ErrUnavailable}
 	}
 	k := s.ownKey()
-	return s.via(p, func(l *dispatch.Link) answer {
+	return s.via(ctx, p, func(l *dispatch.Link) answer {
 		var reply dispatch.RowsReply
 		args := dispatch.ListArgs{Table: k.Table, Part: k.Part, From: k.Key, To: k.Key + "\x00"}
 		return relayed(&reply, l.Call(ctx, "Relay.List", args, &reply, callTimeout))
@@ -79,8 +106,8 @@
 	return errors.Is(err, rowstore.ErrUnavailable) || errors.Is(err, rowstore.ErrUnknown)
 }
 
-// either tries the direct way, and then another entry; while the direct way is
-// lost, two other entries. A transaction that is tried twice carries
+// either makes a transaction by the direct way, and then through another entry;
+// while the direct way is lost, through two other entries. A transaction that is tried twice carries
 // conditions, so that at most one attempt takes effect, and the other is told
 // of the conflict.
 func (s *Store) either(ctx context.Context, direct func() answer, through func(*dispatch.Link) answer) answer {
@@ -89,14 +116,14 @@
 	if p == nil {
 		return straight()
 	}
-	around := func() answer { return s.via(p, through) }
+	around := func() answer { return s.via(ctx, p, through) }
 	lost := s.lostSignal()
 	if lost != nil {
 		return untilLost(ctx, straight, around, lost)
 	}
 	second := straight
 	if other := s.choose(p); other != nil {
-		second = func() answer { return s.via(other, through) }
+		second = func() answer { return s.via(ctx, other, through) }
 	}
 	return inTurn(ctx, around(), second)
 }
@@ -144,18 +171,26 @@
 
 func (s *Store) straight(ctx context.Context, direct func() answer) answer {
 	a := direct()
+	if away(a.err) && ctx.Err() == nil {
+		s.lose(a.err)
+	}
+	return a
+}
+
+// lose notes that the direct way is lost.
+func (s *Store) lose(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if away(a.err) && ctx.Err() == nil && s.lost != nil {
-		close(s.lost)
-		s.lost = nil
-		s.log.Warn().Err(a.err).Msg("store lost; other entries are asked")
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+	if s.lost == nil {
+		return
+	}
+	close(s.lost)
+	s.lost = nil
+	s.log.Warn().Err(err).Msg("store lost; other entries are asked")
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
-	return a
 }
 
 // probeLoop probes the direct way whenever it is lost.
@@ -192,9 +227,14 @@
 	return s.lost
 }
 
-func (s *Store) via(p *peer, through func(*dispatch.Link) answer) answer {
+// via makes a call through another entry. One that ctx has ended says nothing of
+// that entry.
+func (s *Store) via(ctx context.Context, p *peer, through func(*dispatch.Link) answer) answer {
 	s.relayed.Add(1)
 	a := through(p.link)
+	if ctx.Err() != nil {
+		return a
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if away(a.err) {
@@ -207,6 +247,23 @@
 	return a
 }
 
+// chooseAny is choose, but returns the entry that may be asked again first if
+// none is known to be of help: in a slow store all fail, and it may be fast now.
+func (s *Store) chooseAny(except *peer) *peer {
+	if p := s.choose(except); p != nil {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first *peer
+	for _, p := range s.peers {
+		if p != except && (first == nil || p.avoid.Before(first.avoid)) {
+			first = p
+		}
+	}
+	return first
+}
+
 // choose returns another entry that is not known to be of no help, the one
 // that helped last first, or nil.
 func (s *Store) choose(except *peer) *peer {
--- a/infra/rowstore/memstore/memstore.go
+++ b/infra/rowstore/memstore/memstore.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"persimmonrock.example/infra/progress"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
 )
@@ -37,7 +38,7 @@
 	// partQueue is how long transactions of one part may wait for each other
 	// before more are turned away.
 	partQueue = time.Second
-	// silence is how long a client waits for an answer that never comes.
+	// silence is how long a client usually waits for an answer.
 	silence = 1500 * time.Millisecond
 	// latest is the longest delay of a write that is applied late.
 	latest = 6 * time.Second
@@ -157,16 +158,23 @@
 }
 
 // Client returns the store as the named client sees it.
-func (s *Store) Client(name string) rowstore.Store { return &client{store: s, name: name} }
+func (s *Store) Client(name string) rowstore.Store { return s.PatientClient(name, silence) }
+
+// PatientClient returns the store as the named client sees it, giving a call up
+// once nothing of its answer has come for so long.
+func (s *Store) PatientClient(name string, silence time.Duration) rowstore.Store {
+	return &client{store: s, name: name, silence: silence}
+}
 
 type client struct {
-	store *Store
-	name  string
+	store   *Store
+	name    string
+	silence time.Duration
 }
 
-// bound ends a call that the client's adapter would give up.
+// bound ends a read that the client's adapter would give up.
 func (c *client) bound(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, wait+silence)
+	return progress.Bound(ctx, wait+c.silence)
 }
 
 // chunk is how many bytes of an answer a link carries at a time.
@@ -182,6 +190,7 @@
 		if !wait.For(ctx, c.carry(min(size, chunk))) {
 			return rowstore.ErrUnknown
 		}
+		progress.Heard(ctx)
 	}
 	return nil
 }
@@ -222,7 +231,7 @@
 		wait.For(ctx, answerTime)
 		return rowstore.ErrUnavailable
 	case Silent:
-		wait.For(ctx, silence)
+		wait.For(ctx, c.silence)
 		return rowstore.ErrUnknown
 	}
 	if !wait.For(ctx, took) {
@@ -241,15 +250,15 @@
 	if err != nil {
 		return rowstore.Stamp{}, err
 	}
-	if turn > silence-answerTime || !wait.For(ctx, turn) {
+	if turn > c.silence-answerTime || !wait.For(ctx, turn) {
 		// The client gives up; the transaction has its turn all the same.
-		wait.For(ctx, silence-answerTime)
+		wait.For(ctx, c.silence-answerTime)
 		s.applyLater(t, turn)
 		return rowstore.Stamp{}, rowstore.ErrUnknown
 	}
 	stamp, err, lost := s.carryOut(t)
 	if lost {
-		wait.For(ctx, silence)
+		wait.For(ctx, c.silence)
 		return rowstore.Stamp{}, rowstore.ErrUnknown
 	}
 	return stamp, err
--- a/infra/rowstore/rowstore.go
+++ b/infra/rowstore/rowstore.go
@@ -74,8 +74,13 @@
 // proves nothing: a transaction may still be applied seconds later, if its
 // conditions hold then.
 type Store interface {
+	Reader
 	// Apply applies t and returns the version of all rows that it put.
 	Apply(ctx context.Context, t Txn) (Stamp, error)
+}
+
+// Reader is a client's view of the store's reads. Its errors are those of Store.
+type Reader interface {
 	// List returns the rows of one part of a table from key from on, up to
 	// but without key to (empty: no bound), as of one moment. more says that
 	// rows were left out.
@@ -117,7 +122,7 @@
 }
 
 // Get reads one row; a row that is absent has version 0.
-func Get(ctx context.Context, s Store, k Key) (Row, error) {
+func Get(ctx context.Context, s Reader, k Key) (Row, error) {
 	rows, _, _, err := s.List(ctx, k.Table, k.Part, k.Key, k.Key+"\x00")
 	if err != nil {
 		return Row{}, err
@@ -132,7 +137,7 @@
 
 // ListAll reads a whole part of a table, page by page. The stamp is that of
 // the first page, so a feed that starts there misses nothing.
-func ListAll(ctx context.Context, s Store, table, part string) ([]Row, Stamp, error) {
+func ListAll(ctx context.Context, s Reader, table, part string) ([]Row, Stamp, error) {
 	var all []Row
 	var first Stamp
 	from := ""
--- a/sessions/machines/config.go
+++ b/sessions/machines/config.go
@@ -44,6 +44,11 @@
 // ConfigureUnreadable writes a configuration that can't be read.
 func (w *World) ConfigureUnreadable() {
 	must(w.Store.ApplyNow(rowstore.Txn{Puts: []rowstore.Put{{Key: operatorRows.Key, Value: []byte("{")}}}))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.configs != nil {
+		w.configs.lost = len(w.configs.confirmed)
+	}
 }
 
 const (
@@ -57,7 +62,10 @@
 // configWatch checks from outside which version each entry serves by.
 type configWatch struct {
 	confirmed []confirmedConfig
-	seen      map[*Entry]*seenConfig
+	// lost is the number of the versions that no process can learn any more:
+	// one that can't be read has taken their place.
+	lost int
+	seen map[*Entry]*seenConfig
 }
 
 type confirmedConfig struct {
@@ -100,7 +108,7 @@
 // served by, and none that is older than what it must have while in touch.
 func (w *World) lookAtConfig(e *Entry) {
 	p := e.current()
-	calm := p != nil && !w.isCut(e.Node) && w.Store.Calm(e.Node)
+	calm := p != nil && !w.isCut(e.Node) && !w.isHidden(e.Node) && w.Store.Calm(e.Node)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.configs
@@ -148,7 +156,7 @@
 // required is the newest version that must be in force everywhere.
 func (c *configWatch) required(now time.Time) uint64 {
 	newest := uint64(0)
-	for _, v := range c.confirmed {
+	for _, v := range c.confirmed[c.lost:] {
 		if now.Sub(v.at) > configApply {
 			newest = max(newest, v.version)
 		}
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -101,6 +101,10 @@
 // heartbeat is the time between two reports of a worker.
 const heartbeat = 1100 * time.Millisecond
 
+// configSilence bounds the silence of the store in one attempt to read the
+// operator's rows.
+const configSilence = 10 * time.Second
+
 // grant is the grant of the scheduler.
 const grant = 6 * time.Second
 
@@ -192,6 +196,12 @@
 	w.hidden[node] = hidden
 }
 
+func (w *World) isHidden(node string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hidden[node]
+}
+
 // DataCentre names the data centre of the n-th machine.
 func (w *World) DataCentre(n int) string {
 	if w.opt.DataCentres == 0 {
@@ -379,7 +389,8 @@
 	around := relay.New(direct, e.Node, w.link(e.Node), log)
 	rows := settle.New(around)
 	clock := intake.NewStoreClock(w.now)
-	config := intake.NewFollower(rows, operatorRows, log, clock)
+	patient := &cutStore{Store: w.Store.PatientClient(e.Node, configSilence), world: w, node: e.Node}
+	config := intake.NewFollower(around.Reader(patient), operatorRows, log, clock)
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.count), Address: e.Node, Power: w.power(e), Grant: grant, StatusFor: 2 * time.Minute,
 	}, scheduler.Deps{
@@ -467,9 +478,7 @@
 
 // hides reports whether the machine can't read the table.
 func (c *cutStore) hides(table string) bool {
-	c.world.mu.Lock()
-	defer c.world.mu.Unlock()
-	return table == operatorRows.Key.Table && c.world.hidden[c.node]
+	return table == operatorRows.Key.Table && c.world.isHidden(c.node)
 }
 
 func (c *cutStore) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
