Room is kept for lasting tasks that lost their run and fit nowhere

Cause: a task that fits nowhere does not hold up those behind it. Workers were busy with short tasks, each bit of room that became free was enough for one of those, and never for a lasting one of 2.85 cores: no placement from 28.4 to 36 s. Class: starvation of the large by the small.

Now room is kept for such a task on the worker with the most free CPU among those that have room for it beside what lasts there: what ends by itself makes way, and nothing else takes its place. Only tasks that have run before are meant, so that the first placement of lasting jobs does not hold up short ones.

Evidence: TestLastingTaskIsNotStarvedByShortOnes, red before.

--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -125,6 +125,7 @@
 		case n < 0 && away:
 			continue
 		case n < 0:
+			t.keepRoom(v, j, o, si, i, now)
 			return
 		}
 		t.place(v, j, o, si, i, n, k.run+1)
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -25,6 +25,8 @@
 	// runs are the runs on record there, with what they take.
 	runs map[workload.RunID]reservation
 	used workload.Resources
+	// lasting is the part of used that does not end by itself.
+	lasting workload.Resources
 	// fillLoad is the CPU of filling runs, serving the number of runs with a
 	// target for their tail.
 	fillLoad int
@@ -74,6 +76,7 @@
 type reservation struct {
 	counted workload.Resources
 	fill    int
+	lasts   bool
 	serves  bool
 	// target is the bound of a serving task's tail.
 	target time.Duration
@@ -89,12 +92,15 @@
 	if _, ok := w.runs[r]; ok {
 		return
 	}
-	v := reservation{counted: s.Reserved(), serves: s.TailTarget > 0, target: s.TailTarget, image: s.Image}
+	v := reservation{counted: s.Reserved(), lasts: s.Lasting, serves: s.TailTarget > 0, target: s.TailTarget, image: s.Image}
 	if s.Fills {
 		v.fill = s.Need.CPU
 	}
 	w.runs[r] = v
 	w.used = w.used.Add(v.counted)
+	if v.lasts {
+		w.lasting = w.lasting.Add(v.counted)
+	}
 	w.fillLoad += v.fill
 	if v.fill > 0 {
 		w.fills[v.image] += v.fill
@@ -113,6 +119,9 @@
 	}
 	delete(w.runs, r)
 	w.used = w.used.Sub(v.counted)
+	if v.lasts {
+		w.lasting = w.lasting.Sub(v.counted)
+	}
 	w.fillLoad -= v.fill
 	if v.fill > 0 {
 		take(w.fills, v.image, v.fill)
--- /dev/null
+++ b/sessions/machines/starve_test.go
@@ -0,0 +1,39 @@
+package machines
+
+import (
+	"testing"
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// A lasting task that lost its worker finds no room for itself, since short tasks
+// of lower priority take each bit of it as it becomes free.
+func TestLastingTaskIsNotStarvedByShortOnes(t *testing.T) {
+	// restored is the users' bound for a lasting task without a run.
+	const restored = 6 * second
+	play(t, Options{Entries: 2, Machines: 2, Capacity: workload.Resources{CPU: 16000, Memory: 1 << 20}}, func(t *testing.T, w *World, c *Client) {
+		last := lastingJob(1, 1)
+		last.Steps[0].Need.CPU = 8000
+		submit(t, c, last)
+		time.Sleep(second)
+		for n := range 24 {
+			j := job(10+n, 1)
+			j.Queue.Priority = 2
+			j.Steps = j.Steps[:1]
+			j.Steps[0].Count, j.Steps[0].Need.CPU = 60, 1000
+			submit(t, c, j)
+		}
+		time.Sleep(2 * second)
+		a := w.runningOn(last.ID)
+		a.Kill()
+		a.Worker().Crash()
+		time.Sleep(grant + restored)
+		if w.runningOn(last.ID) == nil {
+			t.Error("the lasting task does not run")
+		}
+		if c.State(JobID(33)).Final() {
+			t.Error("no short tasks wait any more")
+		}
+	})
+}
