--- a/entry/scheduler/keeproom.go
+++ b/entry/scheduler/keeproom.go
@@ -8,10 +8,8 @@
 )
 
 // keepRoom keeps room for a lasting task that has lost its run and fits nowhere:
-// what ends by itself there makes way, and nothing else takes its place.
-//
-// Failure guarded against: all workers are busy with short tasks. Each bit of room
-// that becomes free is enough for one of those, and never for the lasting task.
+// what ends by itself there makes way, and nothing else takes its place. Short
+// tasks would take each bit of room as it becomes free.
 func (t *Term) keepRoom(v *view, j *job, o *occurrence, si, i int, now time.Time) {
 	s := o.steps[si]
 	k := &s.tasks[i]
--- a/infra/progress/progress_test.go
+++ b/infra/progress/progress_test.go
@@ -8,8 +8,7 @@
 	"time"
 )
 
-// A call is given up while its answer is on its way, or goes on though nothing
-// more comes.
+// A call is given up while its answer arrives, or goes on though nothing comes.
 func TestBoundEndsWithSilenceOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := Bound(t.Context(), time.Second)
--- a/sessions/machines/config_test.go
+++ b/sessions/machines/config_test.go
@@ -17,8 +17,7 @@
 	verySlow = 600
 )
 
-// A large change that is confirmed in a slow store is not in force when the
-// store has been fast again for as long as machines take to count as in touch.
+// A large change is not in force long after the store, slow before, is fast again.
 func TestLargeChangeIsInForceSoonAfterASlowStore(t *testing.T) {
 	for _, size := range []int{largeConfig, 3 * largeConfig} {
 		for phase := range 12 {
@@ -47,8 +46,7 @@
 	})
 }
 
-// A change whose transfer takes longer than a feed waits for its answer is cut
-// and begun anew for ever.
+// A change that takes long to transfer is cut and begun anew for ever.
 func TestLargeChangeOverASlowLinkIsInForce(t *testing.T) {
 	for _, size := range []int{largeConfig, 2 * largeConfig, 4 * largeConfig} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -65,8 +63,7 @@
 	}
 }
 
-// An entry that starts while the store is slow has no configuration until the
-// store is fast again.
+// An entry that starts in a slow store has no configuration until it is fast.
 func TestEntryThatStartsInASlowStoreGetsTheConfiguration(t *testing.T) {
 	play(t, Options{Seed: 1, Entries: 3, Machines: 2}, func(t *testing.T, w *World, c *Client) {
 		w.Configure(1, largeConfig)
@@ -82,8 +79,7 @@
 	})
 }
 
-// A change during a cut is not in force, or an older one is, once the machine is
-// in touch again.
+// A change during a cut is not in force once the machine is in touch again.
 func TestChangeDuringACutIsInForceSoonAfterIt(t *testing.T) {
 	play(t, Options{Seed: 1, Entries: 3, Machines: 2}, func(t *testing.T, w *World, c *Client) {
 		w.Store.SetRate(slowLink)
@@ -103,8 +99,7 @@
 	})
 }
 
-// A configuration that can't be read replaces the one in force, or keeps the next
-// one from coming into force.
+// A configuration that can't be read replaces the last one, or blocks the next.
 func TestUnreadableConfigurationChangesNothing(t *testing.T) {
 	play(t, Options{Seed: 1, Entries: 3, Machines: 2}, func(t *testing.T, w *World, c *Client) {
 		w.Configure(1, 0)
--- a/sessions/machines/starve_test.go
+++ b/sessions/machines/starve_test.go
@@ -7,8 +7,7 @@
 	"persimmonrock.example/structs/workload"
 )
 
-// A lasting task that lost its worker finds no room for itself, since short tasks
-// of lower priority take each bit of it as it becomes free.
+// A lasting task without a worker finds no room, as short ones take each bit of it.
 func TestLastingTaskIsNotStarvedByShortOnes(t *testing.T) {
 	// restored is the users' bound for a lasting task without a run.
 	const restored = 6 * second
