--- a/entry/relay/ways.go
+++ b/entry/relay/ways.go
@@ -107,9 +107,9 @@
 }
 
 // either makes a transaction by the direct way, and then through another entry;
-// while the direct way is lost, through two other entries. A transaction that is tried twice carries
-// conditions, so that at most one attempt takes effect, and the other is told
-// of the conflict.
+// while the direct way is lost, through two other entries. A transaction that is
+// tried twice carries conditions, so that at most one attempt takes effect, and
+// the other is told of the conflict.
 func (s *Store) either(ctx context.Context, direct func() answer, through func(*dispatch.Link) answer) answer {
 	straight := func() answer { return s.straight(ctx, direct) }
 	p := s.choose(nil)
--- a/sessions/machines/config.go
+++ b/sessions/machines/config.go
@@ -76,12 +76,13 @@
 // seenConfig is what was seen of one entry.
 type seenConfig struct {
 	process *entryProcess
-	// calm is since when nothing has disturbed it.
+	// calm is since when nothing has disturbed it, zero while something does.
 	calm time.Time
-	// served is the newest version that this process served by, since when.
+	// served is the newest version that this process served by, since since.
 	served uint64
 	since  time.Time
-	late   bool
+	// late says that it was reported to serve by too old a version.
+	late bool
 }
 
 // confirmed notes a confirmed version; the first one begins the watch.
@@ -111,18 +112,9 @@
 	calm := p != nil && !w.isCut(e.Node) && !w.isHidden(e.Node) && w.Store.Calm(e.Node)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c := w.configs
-	seen := c.seen[e]
-	if seen == nil || seen.process != p {
-		seen = &seenConfig{process: p}
-		c.seen[e] = seen
-	}
-	now := time.Now()
-	if !calm {
-		seen.calm = time.Time{}
-	} else if seen.calm.IsZero() {
-		seen.calm = now
-	}
+	c, now := w.configs, time.Now()
+	seen := c.seenOf(e, p)
+	seen.setCalm(calm, now)
 	if p == nil {
 		return
 	}
@@ -141,6 +133,25 @@
 	seen.late = late
 }
 
+// seenOf returns what was seen of a process of an entry, nil if none runs; a new
+// process has been seen to serve nothing.
+func (c *configWatch) seenOf(e *Entry, p *entryProcess) *seenConfig {
+	if c.seen[e] == nil || c.seen[e].process != p {
+		c.seen[e] = &seenConfig{process: p}
+	}
+	return c.seen[e]
+}
+
+// setCalm notes whether anything disturbs the entry.
+func (s *seenConfig) setCalm(calm bool, now time.Time) {
+	switch {
+	case !calm:
+		s.calm = time.Time{}
+	case s.calm.IsZero():
+		s.calm = now
+	}
+}
+
 // servedBy finds the version of which a process serves the route, newest first;
 // 0 is none.
 func (c *configWatch) servedBy(p *entryProcess) uint64 {
