The stand-in's rule on cancelled jobs leaves out times in which the store's reads fail

The users' rule holds for a machine in touch, which takes a store without disruption for 3 s: the case is allowed.

The stand-in knew only cuts as disturbances.

--- a/infra/rowstore/memstore/memstore.go
+++ b/infra/rowstore/memstore/memstore.go
@@ -60,8 +60,10 @@
 	slow    float64
 	lost    float64
 	late    bool
-	// mute is the share of the reads that get no answer.
-	mute float64
+	// mute is the share of the reads that get no answer, failedUntil until when
+	// any got none or a very late one.
+	mute        float64
+	failedUntil time.Time
 	// rate is the speed of each client's link in bytes a second, 0 unbounded,
 	// and sent until when each link is taken.
 	rate float64
@@ -95,6 +97,7 @@
 func (s *Store) SetSlow(x float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteReads()
 	s.slow = x
 }
 
@@ -111,9 +114,33 @@
 func (s *Store) SetMute(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteReads()
 	s.mute = share
 }
 
+// slowReads is the slowness from which on reads take over 0.4 s.
+const slowReads = 100
+
+func (s *Store) readsFail() bool { return s.mute > 0 || s.slow > slowReads }
+
+// noteReads notes that reads fail until now, if they do.
+func (s *Store) noteReads() {
+	if s.readsFail() {
+		s.failedUntil = time.Now()
+	}
+}
+
+// ReadsFineFor returns for how long no read has been left without an answer, or
+// answered very late; 0 while some are.
+func (s *Store) ReadsFineFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readsFail() {
+		return 0
+	}
+	return time.Since(s.failedUntil)
+}
+
 // SetRate sets the speed of each client's link in bytes a second; 0 does not
 // bound it. The answers that a client reads at the same time share its link.
 func (s *Store) SetRate(bytes float64) {
--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -12,10 +12,13 @@
 // Rules watches what the workers do and what clients are told, and keeps
 // what must never happen.
 type Rules struct {
-	mu     sync.Mutex
-	jobs   map[workload.JobID]*watched
-	broken []string
-	cutAt  time.Time
+	mu sync.Mutex
+	// readsFineFor is for how long the store's reads have met no fault; nil if
+	// they never do.
+	readsFineFor func() time.Duration
+	jobs         map[workload.JobID]*watched
+	broken       []string
+	cutAt        time.Time
 	// drained is since when each data centre is drained, lastStart how long
 	// after that the last task began there.
 	drained   map[string]time.Time
@@ -176,6 +179,10 @@
 	contact = 3 * time.Second
 )
 
+// inTouch reports whether reads have been answered in time for as long as it takes
+// until machines count as in touch.
+func (r *Rules) inTouch() bool { return r.readsFineFor == nil || r.readsFineFor() > contact }
+
 // Cut notes that a machine was cut off, or that a cut has healed.
 func (r *Rules) Cut() {
 	r.mu.Lock()
@@ -259,7 +266,7 @@
 	j.before[t] = append(j.before[t], before)
 	r.budget(j, t)
 	r.crashBudget(j, t)
-	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelGrace && time.Since(r.cutAt) > contact {
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelGrace && time.Since(r.cutAt) > contact && r.inTouch() {
 		r.breach("%s started %s %v after its job was cancelled", w, o.Run, time.Since(j.cancelled))
 	}
 	if j.running[t] == nil {
--- a/sessions/machines/world.go
+++ b/sessions/machines/world.go
@@ -114,6 +114,7 @@
 		Store: memstore.New(opt.Seed), Rules: NewRules(), advisor: newAdvisor(), opt: opt, began: time.Now(), log: zerolog.Nop(),
 		servers: map[string]*server{}, cut: map[string]bool{}, hidden: map[string]bool{},
 	}
+	w.Rules.readsFineFor = w.Store.ReadsFineFor
 	if opt.Log != nil {
 		w.log = zerolog.New(opt.Log).With().Timestamp().Logger()
 	}
