Log why no worker can hold capacity for a lasting task

Lasting tasks waited 9 s and more for a run (LOST) after workers were removed, and no log told which condition of bestToHold had failed on how many workers. A waiting step now logs at most one line each 0.5 s with the number of workers that were barred, unsuitable, with an unresponsive agent, with capacity held for others, or full of lasting tasks.

--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/structs/workload"
 )
@@ -16,39 +18,64 @@
 	if !s.spec.Lasting || s.spec.Gang || s.spec.Fills || k.run == 0 {
 		return
 	}
-	n := v.bestToHold(s.spec, now)
+	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
+	n, refused := v.bestToHold(s.spec, now)
 	if n < 0 {
+		if now.Sub(s.refusalsLogged) >= refusalsEvery {
+			s.refusalsLogged = now
+			t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Int("workers", len(v.workers)).EmbedObject(refused).
+				Msg("no worker can hold capacity for a lasting task")
+		}
 		return
 	}
 	w := v.workers[n]
-	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
 	k.pin, k.pinUntil = w.id, now.Add(pinFor)
 	w.held[id] = heldCapacity{need: s.spec.Reserved(), until: k.pinUntil}
 	v.candidates[n].Free = v.candidates[n].Free.Sub(s.spec.Reserved())
 	t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Str("room", string(w.id)).Msg("capacity held for the task's next placement")
 }
 
+// refusalsEvery is the least time between two log lines about one step for whose
+// task no worker can hold capacity.
+const refusalsEvery = 500 * time.Millisecond
+
+// holdRefusals counts the workers that can't hold capacity for a task, each by
+// the first reason that applies.
+type holdRefusals struct {
+	// barred workers accept no tasks of the service; unsuitable ones are too small,
+	// lack the step's label, or have enough of its tasks; unresponsive ones have an
+	// agent that does not answer; held ones hold capacity for other tasks; full
+	// ones have too much capacity reserved by lasting tasks.
+	barred, unsuitable, unresponsive, held, full int
+}
+
+// MarshalZerologObject adds the counts to a log line.
+func (r holdRefusals) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("barred", r.barred).Int("unsuitable", r.unsuitable).Int("unresponsive", r.unresponsive).Int("held", r.held).Int("full", r.full)
+}
+
 // bestToHold returns the candidate with the most free CPU among those that have
-// capacity for a task of the step beside their lasting tasks, or -1.
-func (v *view) bestToHold(s *workload.Step, now time.Time) int {
+// capacity for a task of the step beside their lasting tasks, or -1 and why there
+// is none.
+func (v *view) bestToHold(s *workload.Step, now time.Time) (int, holdRefusals) {
 	best := -1
+	var refused holdRefusals
 	for i := range v.candidates {
-		c := &v.candidates[i]
-		if c.Barred || !placement.CouldTake(s, c) || !v.workers[i].fitsBesideLasting(s, now) {
-			continue
-		}
-		if best < 0 || c.Free.CPU > v.candidates[best].Free.CPU {
+		c, w := &v.candidates[i], v.workers[i]
+		switch {
+		case c.Barred:
+			refused.barred++
+		case !placement.CouldTake(s, c):
+			refused.unsuitable++
+		case w.link == nil || w.link.unresponsive:
+			refused.unresponsive++
+		case w.heldForOthers(workload.TaskID{}, now) != (workload.Resources{}):
+			refused.held++
+		case !s.Reserved().Fits(w.info.Capacity.Sub(w.lasting)):
+			refused.full++
+		case best < 0 || c.Free.CPU > v.candidates[best].Free.CPU:
 			best = i
 		}
 	}
-	return best
-}
-
-// fitsBesideLasting reports whether the worker's agent is responsive, and the
-// worker holds no capacity for other tasks and has capacity for a task of the
-// step once all tasks that end by themselves have ended.
-func (w *worker) fitsBesideLasting(s *workload.Step, now time.Time) bool {
-	responsive := w.link != nil && !w.link.unresponsive
-	kept := w.heldForOthers(workload.TaskID{}, now) != (workload.Resources{})
-	return responsive && !kept && s.Reserved().Fits(w.info.Capacity.Sub(w.lasting))
+	return best, refused
 }
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -76,6 +76,9 @@
 	timed int
 	// advice is set for steps of queues that need tickets from the policy service.
 	advice *advice
+	// refusalsLogged is when it was last logged that no worker can hold capacity for
+	// a task of the step.
+	refusalsLogged time.Time
 }
 
 func (s *step) complete() bool { return s.done == len(s.tasks) }
