Held capacity reaches the lasting task for which it is held

What callers saw: lasting tasks stood still for 9 s and more after workers were removed, though capacity had been held for them and was free.

Cause: three ways in which held capacity did not reach its task. - planStep returned at the first task of a step that fitted nowhere. A later task of the step was then not even looked at, though the capacity held for it had become free. The hold expired after 4 s, and short tasks took the capacity. - A hold expired by time. While a plan waited for a slow store, it lapsed, and jobs ahead in the order took the capacity. - A task with held capacity did not look at other workers until then.

Now the tasks with held capacity are placed first, independently of the rest of the step. A hold lasts until the task is placed, the worker is no longer usable or the job ends. A task that lost its run also takes free capacity elsewhere; one that is moved waits for its new worker as before. Several tasks of a step may hold capacity in one plan.

--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -12,27 +12,74 @@
 // holdCapacity holds capacity on one worker for a lasting task that has run
 // before and fits nowhere now. Tasks there that end by themselves free the
 // capacity. Without the hold, new short tasks would use up the freed capacity.
-func (t *Term) holdCapacity(v *view, j *job, o *occurrence, si, i int, now time.Time) {
+// It returns false if no worker could hold capacity for a task of the step.
+func (t *Term) holdCapacity(v *view, j *job, o *occurrence, si, i int, now time.Time) bool {
 	s := o.steps[si]
 	k := &s.tasks[i]
-	if !s.spec.Lasting || s.spec.Gang || s.spec.Fills || k.run == 0 {
-		return
+	if !s.spec.Lasting || s.spec.Gang || s.spec.Fills {
+		return false
+	}
+	if k.run == 0 || k.pin != "" && now.Before(k.pinUntil) {
+		return true
 	}
 	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
-	n, refused := v.bestToHold(s.spec, now)
+	before := k.pin
+	v.unpin(id, k)
+	n, refused := v.bestToHold(s.spec)
 	if n < 0 {
 		if now.Sub(s.refusalsLogged) >= refusalsEvery {
 			s.refusalsLogged = now
 			t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Int("workers", len(v.workers)).EmbedObject(refused).
 				Msg("no worker can hold capacity for a lasting task")
 		}
-		return
+		return false
 	}
 	w := v.workers[n]
-	k.pin, k.pinUntil = w.id, now.Add(pinFor)
-	w.held[id] = heldCapacity{need: s.spec.Reserved(), until: k.pinUntil}
+	w.hold(movable{id: id, job: j, step: s, task: k}, now)
 	v.candidates[n].Free = v.candidates[n].Free.Sub(s.spec.Reserved())
-	t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Str("room", string(w.id)).Msg("capacity held for the task's next placement")
+	if w.id != before {
+		t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Str("room", string(w.id)).Msg("capacity held for the task's next placement")
+	}
+	return true
+}
+
+// hold holds capacity on w for the next run of a task.
+func (w *worker) hold(m movable, now time.Time) {
+	m.task.pin, m.task.pinUntil, m.task.moving = w.id, now.Add(pinFor), false
+	w.held[m.id] = heldCapacity{need: m.step.spec.Reserved(), job: m.job, task: m.task}
+}
+
+// unpin releases the capacity that is held for a task, if any.
+func (v *view) unpin(id workload.TaskID, k *task) {
+	if n := v.index(k.pin); n >= 0 {
+		if h, ok := v.workers[n].held[id]; ok {
+			delete(v.workers[n].held, id)
+			v.candidates[n].Free = v.candidates[n].Free.Add(h.need)
+		}
+	}
+	k.pin = ""
+}
+
+// placePinned places the waiting tasks of a step for which capacity is held, if
+// that capacity is free. They depend on no other task of the step.
+func (t *Term) placePinned(v *view, j *job, o *occurrence, si int, now time.Time) {
+	s := o.steps[si]
+	for i := range s.tasks {
+		k := &s.tasks[i]
+		if k.pin == "" || !k.mayStart(now) {
+			continue
+		}
+		id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
+		n := v.index(k.pin)
+		if n < 0 || v.candidates[n].Barred || s.spec.Spread > 0 && v.candidates[n].OfStep >= s.spec.Spread {
+			v.unpin(id, k)
+			continue
+		}
+		w := v.workers[n]
+		if s.spec.Reserved().Fits(w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(id))) {
+			t.place(v, j, o, si, i, n, k.run+1)
+		}
+	}
 }
 
 // refusalsEvery is the least time between two log lines about one step for whose
@@ -57,7 +104,7 @@
 // bestToHold returns the candidate with the most free CPU among those that have
 // capacity for a task of the step beside their lasting tasks, or -1 and why there
 // is none.
-func (v *view) bestToHold(s *workload.Step, now time.Time) (int, holdRefusals) {
+func (v *view) bestToHold(s *workload.Step) (int, holdRefusals) {
 	best := -1
 	var refused holdRefusals
 	for i := range v.candidates {
@@ -69,7 +116,7 @@
 			refused.unsuitable++
 		case w.link == nil || w.link.unresponsive:
 			refused.unresponsive++
-		case w.heldForOthers(workload.TaskID{}, now) != (workload.Resources{}):
+		case w.heldForOthers(workload.TaskID{}) != (workload.Resources{}):
 			refused.held++
 		case !s.Reserved().Fits(w.info.Capacity.Sub(w.lasting)):
 			refused.full++
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -31,9 +31,12 @@
 	// ordered says that the placement is stored and was queued for the agent.
 	ordered  bool
 	placedAt time.Time
-	// pin is the worker that holds capacity for the next run, until pinUntil.
+	// pin is the worker that holds capacity for the next run. From pinUntil on,
+	// another worker may be chosen. moving says that the task was stopped for a
+	// move to pin; until pinUntil, it waits for that worker alone.
 	pin      workload.WorkerID
 	pinUntil time.Time
+	moving   bool
 	// ticket is the policy service's permission for this run on its worker.
 	ticket string
 	// worked is the working time of earlier runs, converted to full speed.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -112,23 +112,28 @@
 		t.setMix(v, s.spec)
 	}
 	now := time.Now()
+	t.placePinned(v, j, o, si, now)
+	full := false
 	for i := range s.tasks {
 		k := &s.tasks[i]
-		if k.state != taskWaiting || k.notBefore.After(now) || k.awaitsQuarantine(now) {
+		if !k.mayStart(now) || k.moving && k.pin != "" && now.Before(k.pinUntil) {
 			continue
 		}
-		if t.placePinned(v, j, o, si, i, now) {
-			continue
+		n := -1
+		if !full {
+			avoid := v.index(k.avoid)
+			excluded := v.mustAvoid(s.spec, avoid, k.failedAt)
+			n = placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
+			if n < 0 && excluded {
+				continue
+			}
 		}
-		avoid := v.index(k.avoid)
-		excluded := v.mustAvoid(s.spec, avoid, k.failedAt)
-		n := placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
-		switch {
-		case n < 0 && excluded:
+		if n < 0 {
+			full = true
+			if !t.holdCapacity(v, j, o, si, i, now) {
+				return
+			}
 			continue
-		case n < 0:
-			t.holdCapacity(v, j, o, si, i, now)
-			return
 		}
 		t.place(v, j, o, si, i, n, k.run+1)
 		switch {
@@ -140,6 +145,12 @@
 	}
 }
 
+// mayStart reports whether a task waits and may be placed now, outside a
+// quarantine.
+func (k *task) mayStart(now time.Time) bool {
+	return k.state == taskWaiting && !k.notBefore.After(now) && !k.awaitsQuarantine(now)
+}
+
 const (
 	// waitLimit is the time after the deadline of an overdue job (order.Key.By)
 	// for which the job still waits for a worker on which it does not press. Then
@@ -224,6 +235,8 @@
 	s := o.steps[si]
 	k := &s.tasks[i]
 	w := v.workers[n]
+	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
+	v.unpin(id, k)
 	k.state = taskPlaced
 	k.run = run
 	k.agent, k.worker = w.agent, w.id
@@ -235,7 +248,6 @@
 		k.ticket, _ = s.advice.ticket(w.id, k.placedAt)
 	}
 	s.waiting--
-	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
 	w.add(workload.RunID{Task: id, Run: run}, s.spec)
 	v.reserve(n, s.spec)
 	if j.state == workload.Queued {
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -16,8 +16,9 @@
 	// regroupAtOnce bounds the serving tasks that are moving at the same time,
 	// per scaleUnit workers.
 	regroupAtOnce = 4
-	// pinFor is the time for which capacity at the new worker is held: the stop of
-	// the old run takes up to a second, and the placement needs a transaction.
+	// pinFor is the time for which a moved task waits for its new worker alone: the
+	// stop of the old run takes up to a second, and the placement needs a
+	// transaction.
 	pinFor = 4 * time.Second
 )
 
@@ -32,8 +33,9 @@
 
 type movable struct {
 	id   workload.TaskID
-	task *task
+	job  *job
 	step *step
+	task *task
 }
 
 // regroup moves serving tasks so that images on which different filling images
@@ -53,7 +55,7 @@
 	}
 	free := make([]workload.Resources, len(v.workers))
 	for i, w := range v.workers {
-		free[i] = w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{}, time.Now()))
+		free[i] = w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{}))
 	}
 	moves := pressure.Regroup(tasks, free, t.difference, t.regroupRounds, share)
 	for _, m := range moves {
@@ -98,7 +100,7 @@
 			tasks = append(tasks, pressure.Task{
 				Image: s.spec.Image, Step: steps[s], Worker: w, Need: s.spec.Need, Fixed: !t.mayMove(j, s, k, now), Barred: v.barredFor(j, s, k),
 			})
-			found = append(found, movable{id: id, task: k, step: s})
+			found = append(found, movable{id: id, job: j, step: s, task: k})
 		})
 	}
 	return tasks, found, moving
@@ -144,43 +146,10 @@
 // moveTo stops a task and holds capacity for it at another worker.
 func (t *Term) moveTo(v *view, m movable, to int, msg string) {
 	w := v.workers[to]
-	until := time.Now().Add(pinFor)
-	m.task.pin, m.task.pinUntil = w.id, until
 	m.task.moves++
-	w.held[m.id] = heldCapacity{need: m.step.spec.Reserved(), until: until}
+	w.hold(m, time.Now())
+	m.task.moving = true
 	t.deps.Log.Info().Stringer("run", workload.RunID{Task: m.id, Run: m.task.run}).Str("from", string(m.task.worker)).
 		Str("room", string(w.id)).Str("image", m.step.spec.Image).Msg(msg)
 	t.stop(m.id, m.task)
 }
-
-// placePinned places a task on the worker that holds capacity for it. It
-// returns true if the task is placed or waits for this capacity.
-func (t *Term) placePinned(v *view, j *job, o *occurrence, si, i int, now time.Time) bool {
-	s := o.steps[si]
-	k := &s.tasks[i]
-	if k.pin == "" {
-		return false
-	}
-	n := v.index(k.pin)
-	id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
-	if n < 0 || !now.Before(k.pinUntil) || v.candidates[n].Barred || s.spec.Spread > 0 && v.candidates[n].OfStep >= s.spec.Spread {
-		t.unpin(k, id)
-		return false
-	}
-	w := v.workers[n]
-	if !s.spec.Reserved().Fits(w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(id, now))) {
-		return true
-	}
-	t.unpin(k, id)
-	t.place(v, j, o, si, i, n, k.run+1)
-	// The view's free capacity already excluded the held capacity.
-	v.candidates[n].Free = v.candidates[n].Free.Add(s.spec.Reserved())
-	return true
-}
-
-func (t *Term) unpin(k *task, id workload.TaskID) {
-	if w := t.workers[k.pin]; w != nil {
-		delete(w.held, id)
-	}
-	k.pin = ""
-}
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -54,20 +54,23 @@
 	slowUntil time.Duration
 }
 
+// heldCapacity is held until the task is placed or pinned elsewhere, or its job
+// ends.
 type heldCapacity struct {
-	need  workload.Resources
-	until time.Time
+	need workload.Resources
+	job  *job
+	task *task
 }
 
 // heldForOthers is the capacity held here for tasks other than id.
-func (w *worker) heldForOthers(id workload.TaskID, now time.Time) workload.Resources {
+func (w *worker) heldForOthers(id workload.TaskID) workload.Resources {
 	var sum workload.Resources
-	for k, r := range w.held {
+	for k, h := range w.held {
 		switch {
-		case !now.Before(r.until):
+		case h.task.pin != w.id || h.job.state.Final():
 			delete(w.held, k)
 		case k != id:
-			sum = sum.Add(r.need)
+			sum = sum.Add(h.need)
 		}
 	}
 	return sum
@@ -141,7 +144,7 @@
 // candidate returns the worker as the placement sees it.
 func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
 	return placement.Candidate{
-		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{}, time.Now())), FillLoad: w.fillLoad, Serving: w.serving,
+		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{})), FillLoad: w.fillLoad, Serving: w.serving,
 		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now), Slow: now < w.slowUntil,
 		Barred: !w.accepts(service) || w.quarantine != nil,
 	}
