A stopping agent serves its worker until the end of the grace period

What callers saw: lasting tasks without a run for 9 s and more after machines were removed (LOST); calls and jobs lost with them.

Cause: at the stop signal the agent exited at once. A machine that is removed keeps its worker until the grace period (6 s) is over, and half a second more. The lease of its runs lapsed 2.9 s after the signal, and for 3.6 s a sound worker stood empty that nobody could use, while its tasks waited elsewhere, where lasting tasks had all capacity. The ends of short runs there were read by nobody either, so all of them ran twice.

Ruled out: capacity held for others (0 to 5 of 62 workers), barred workers (0 or 1), late learning of the loss (with it unchanged, the rule holds).

Now the agent serves its worker as usual until 0.7 s before the kill, then renews the lease no more and exits. A restart loses nothing by it: it happens five seconds later, and the lease still outlasts it.

Tests: TestWorkerIsServedThroughTheGracePeriod fails with an agent that exits at once (0 of 3 runs left); TestRunsOutlastARestartOfTheirAgent.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -77,7 +77,7 @@
 		r.endIncarnation("a new incarnation has started")
 	}
 	r.counters.Lives++
-	r.incarnation = &incarnation{id: w.ID, worker: *r.candidate, sequence: r.candidateSeq, reportedAt: r.candidateAt, runs: map[workload.RunID]*run{}}
+	r.incarnation = &incarnation{id: w.ID, worker: *r.candidate, sequence: r.candidateSeq, reportedAt: r.candidateAt, foundAt: r.deps.Now(), runs: map[workload.RunID]*run{}}
 	r.candidate = nil
 	r.incarnation.changed = r.recordChange(true)
 	r.deps.Log.Info().Str("worker", string(w.ID)).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -129,6 +129,9 @@
 	if inc.worker.Draining || inc.leaving {
 		return "the worker is leaving"
 	}
+	if r.stopping {
+		return "the agent is stopping"
+	}
 	if r.drained {
 		return dispatch.ReasonDrained
 	}
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -60,6 +60,10 @@
 	drained       bool
 	drainsVersion uint64
 
+	// stopping says that leases are no longer renewed and nothing starts, because
+	// the process is about to exit.
+	stopping bool
+
 	incarnation *incarnation
 	// candidate is a worker that has not answered yet; it has reported, or the
 	// previous process found it.
@@ -117,8 +121,10 @@
 	// answer, downAt that of the first call that the address refused, or 0.
 	failedAt time.Duration
 	downAt   time.Duration
-	// leaseEnd is the time by which the last lease that was sent has expired.
+	// leaseEnd is the time by which the last lease that was sent has expired. An
+	// earlier process of this agent sent its last lease before foundAt.
 	leaseEnd time.Duration
+	foundAt  time.Duration
 	// failures counts the listings in a row without an answer; unansweredAt is
 	// the time at which the latest of them failed.
 	failures     int
@@ -268,7 +274,7 @@
 func (r *Runner) leaseLimit(inc *incarnation) workerctl.Clock {
 	now := r.deps.Now()
 	left := min(r.grantEnd-now, maxLease, r.cfg.MaxLease-leaseMargin)
-	if left <= 0 || inc.clock.at == 0 || now-inc.answeredAt > unresponsiveAfter {
+	if r.stopping || left <= 0 || inc.clock.at == 0 || now-inc.answeredAt > unresponsiveAfter {
 		return 0
 	}
 	inc.leaseEnd = max(inc.leaseEnd, now+left+time.Duration(clockDrift*float64(left))+leaseMargin)
--- a/cmd/machine/agent.go
+++ b/cmd/machine/agent.go
@@ -35,8 +35,10 @@
 }
 
 func (p *program) runAgent(ctx context.Context) error {
-	ctx, cancel := p.stopSignal(ctx)
+	stop, cancel := p.stopSignal(ctx)
 	defer cancel()
+	ctx, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
 	registration := runner.Registration{
 		Store: store.New(p.settings.StoreAddress), Node: p.settings.Node, Address: p.peerAddress(), Log: p.log,
 	}
@@ -46,7 +48,7 @@
 	if _, err := p.serveHTTP(p.settings.WorkerListen, worker.ReportHandler(reports{r})); err != nil {
 		return err
 	}
-	token, former, err := registration.Register(ctx)
+	token, former, err := registration.Register(stop)
 	if err != nil {
 		return err
 	}
@@ -60,6 +62,11 @@
 	}
 	p.serveMetrics(map[string]func() any{"agent": func() any { return r.Counters() }})
 	p.log.Info().Uint64("token", token).Str("peers", p.peerAddress()).Str("worker", p.settings.WorkerAddress).Msg("agent started")
+	go func() {
+		<-stop.Done()
+		r.Stop(ctx, p.settings.Bounds.Grace-stopReserve)
+		end()
+	}()
 	r.Run(ctx)
 	p.log.Info().Msg("agent stopped")
 	return nil
--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -155,6 +155,18 @@
 	a.server = nil
 }
 
+// Stop sends the agent's process the stop signal, and returns when the process
+// has exited, at the end of the grace period.
+func (a *Agent) Stop(grace time.Duration) {
+	a.mu.Lock()
+	r := a.runner
+	a.mu.Unlock()
+	if r != nil {
+		r.Stop(context.Background(), grace)
+	}
+	a.Kill()
+}
+
 // Counters returns the counters of the running agent; they are zero while no
 // agent runs.
 func (a *Agent) Counters() runner.Counters {
--- /dev/null
+++ b/sessions/machines/stop_test.go
@@ -0,0 +1,42 @@
+package machines
+
+import (
+	"testing"
+	"time"
+)
+
+// grace is the time from the stop signal to the exit of an agent.
+const grace = 5300 * time.Millisecond
+
+// Guards against a worker that stands empty for most of the grace period of its
+// machine, because its agent has exited and its lease has expired.
+func TestWorkerIsServedThroughTheGracePeriod(t *testing.T) {
+	simulate(t, Options{Entries: 2, Machines: 2}, func(t *testing.T, sim *Simulation, c *Client) {
+		submit(t, c, lastingJob(1, 6))
+		time.Sleep(2 * second)
+		a := sim.Agents()[0]
+		before := len(a.Worker().Running())
+		go a.Stop(grace)
+		time.Sleep(grace + second)
+		if running := len(a.Worker().Running()); before == 0 || running != before {
+			t.Errorf("%d runs on the worker at the stop of its agent, %d a second after the grace period", before, running)
+		}
+	})
+}
+
+// Guards against runs that are started anew because their agent was restarted.
+func TestRunsOutlastARestartOfTheirAgent(t *testing.T) {
+	simulate(t, Options{Entries: 2, Machines: 2}, func(t *testing.T, sim *Simulation, c *Client) {
+		submit(t, c, lastingJob(1, 6))
+		time.Sleep(2 * second)
+		for _, a := range sim.Agents() {
+			a.Stop(grace)
+			time.Sleep(300 * time.Millisecond)
+			a.Start()
+		}
+		time.Sleep(10 * second)
+		if sim.Rules.Started != 6 {
+			t.Errorf("%d starts for 6 lasting tasks", sim.Rules.Started)
+		}
+	})
+}
