A stopping agent reports when its worker's last lease ends

What callers saw: the tasks of a removed machine started elsewhere 5.3 s after the machine was gone, of the 6 s that the users allow a lasting task.

Cause: the scheduler waited for its whole grant of 6 s, counted from the agent's last answer, though the agent had ended and never renews the lease (3 s) again.

Now the agent's last answers say that its process is about to exit and when its last lease ends. Later claims grant it nothing, the scheduler waits for that lease alone, places nothing there meanwhile, and suspects no run. The next process of the agent, if it comes in time, takes over as before.

--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -96,6 +96,9 @@
 	reply.Worker.Draining = inc.worker.Draining || inc.leaving
 	reply.Listed = inc.listed && !inc.unresponsive && !inc.stale
 	reply.Lapsed = inc.lapsed
+	if r.stopping {
+		reply.Stopping, reply.LeaseEnd = true, inc.lastLeaseEnd()
+	}
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range inc.runs {
 		if x.changed > since || since == 0 {
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -41,6 +41,8 @@
 	starts       map[workload.RunID]dispatch.StartOrder
 	stops        map[workload.RunID]bool
 	unresponsive bool
+	// stopping says that the agent's process has reported that it is about to exit.
+	stopping bool
 	// sentPressure is the last pressure update sent to the agent.
 	sentPressure pressureUpdate
 	// sentOrder is the order of filling jobs that the agent has.
@@ -82,7 +84,7 @@
 	if l.worker != nil {
 		c.Drained, c.DrainsVersion = l.worker.drained, t.drains.Version
 	}
-	if t.deps.Now() >= t.validUntil || l.process == 0 || l.worker == nil {
+	if t.deps.Now() >= t.validUntil || l.process == 0 || l.worker == nil || l.stopping {
 		return c
 	}
 	c.Echo = l.echo
@@ -203,6 +205,10 @@
 	}
 	wake := l.updateWorker(reply)
 	w := l.worker
+	if reply.Stopping {
+		l.recordStopping(w, reply)
+		wake = true
+	}
 	if reply.Sample != nil {
 		t.learner.observe(w, reply.Sample, t.deps.Now())
 	}
@@ -219,11 +225,26 @@
 	return wake
 }
 
+// recordStopping records that the agent's process is about to exit. Later claims
+// grant nothing, so the worker's last lease is the one that the agent reports.
+func (l *agentLink) recordStopping(w *worker, reply *dispatch.WatchReply) {
+	t := l.term
+	left := max(0, reply.LeaseEnd-reply.At)
+	if end := t.deps.Now() + left; w.leaseEnd == 0 || end < w.leaseEnd {
+		w.leaseEnd = end
+	}
+	if !l.stopping {
+		l.stopping = true
+		t.deps.Log.Info().Str("instance", l.node).Str("worker", string(w.id)).Int("runs", len(w.runs)).Dur("lease_left", left).Msg("agent is stopping")
+	}
+}
+
 // newProcess resets the link for a new process of the agent, which has received
 // none of the earlier orders.
 func (l *agentLink) newProcess(process uint64) {
 	l.process = process
 	l.since = 0
+	l.stopping = false
 	l.sentPressure, l.sentOrder = pressureUpdate{}, nil
 	l.repeatOrders()
 }
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -47,7 +47,8 @@
 	lost := false
 	for _, w := range t.workers {
 		if w.leaseEnd > 0 && now > w.leaseEnd && (w.alive || len(w.runs) > 0) {
-			t.requeueRuns(w, workerLoss{reason: "its last lease has expired"})
+			// A planned stop of the agent is not a crash, so no run is suspected.
+			t.requeueRuns(w, workerLoss{reason: "its last lease has expired", judged: w.agentStopping()})
 			lost = true
 		}
 	}
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -136,7 +136,7 @@
 	}
 	for i, w := range v.workers {
 		full := s.spec.Spread > 0 && on[w.id] >= s.spec.Spread && w.id != k.worker
-		if full || w.draining() || w.quarantine != nil || w.info.Service != j.queue.Service || !w.info.HasLabel(s.spec.Label) || w.health.suspect(v.now) {
+		if full || w.draining() || w.agentStopping() || w.quarantine != nil || w.info.Service != j.queue.Service || !w.info.HasLabel(s.spec.Label) || w.health.suspect(v.now) {
 			barred[i] = true
 		}
 	}
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -152,9 +152,13 @@
 
 // accepts reports whether tasks of the service may begin on the worker.
 func (w *worker) accepts(service string) bool {
-	return w.alive && !w.draining() && w.info.Service == service
+	return w.alive && !w.draining() && !w.agentStopping() && w.info.Service == service
 }
 
+// agentStopping reports whether the process of the worker's agent is about to
+// exit, or has exited, after a stop signal.
+func (w *worker) agentStopping() bool { return w.link != nil && w.link.stopping }
+
 // draining reports whether nothing more may begin on the worker, whatever its
 // free capacity.
 func (w *worker) draining() bool { return w.info.Draining || w.drained }
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -150,6 +150,11 @@
 	// Lapsed says that the worker was unresponsive until its last lease
 	// expired, so that nothing runs there.
 	Lapsed bool
+	// Stopping says that Process is about to exit: it renews the worker's lease no
+	// more and starts nothing. All leases have expired at LeaseEnd, on the clock of
+	// At.
+	Stopping bool
+	LeaseEnd time.Duration
 	// Former lists earlier incarnations that are known to have ended.
 	Former []workload.WorkerID
 	// Fresh lists the runs that may have crashed an incarnation in Former, or
