The runs that started last are the prime suspects of a crash

Cause: all runs of the last second were suspects alike. Innocent ones filled the quarantine, of which only a quarter of the workers can be part; after two seconds the others started anywhere, the cause of the crash among them.

Now an agent reports which suspects were among the last to start. Of these, the ones that were suspected most often before are the prime suspects. Only they, and tasks suspected of two crashes, go into quarantine. A job fails after its second crash as a prime suspect if that crash is certain, after the third if no other job has a prime suspect. The limits that held before still hold.

Tests: TestPrimeSuspectFailsAfterFewCrashes, TestOnlyPrimeSuspectsAreQuarantined, TestLastStartsBeforeACrash; the report they rely on did not exist before.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -20,6 +20,9 @@
 	// promptDownTime is the longest time from a worker's last answer to the
 	// first refused call after a crash: a listing and the pause after it.
 	promptDownTime = time.Second
+	// lastStartWindow is the time within which starts count as simultaneous: the
+	// runs of one message are started concurrently.
+	lastStartWindow = 40 * time.Millisecond
 	// maxLoggedRuns bounds the runs named in one log line.
 	maxLoggedRuns = 16
 )
@@ -41,15 +44,28 @@
 		return nil
 	}
 	var list []dispatch.SuspectRun
+	last := inc.lastConfirmedStart() - lastStartWindow
 	for id, x := range inc.runs {
 		if x.mayHaveBegun() && !x.proven(inc.answeredAt) {
 			begun := x.state == dispatch.RunPresent && !x.inherited && inc.downPromptly()
-			list = append(list, dispatch.SuspectRun{Run: id, Begun: begun, Soon: begun && inc.failedAt > 0 && inc.failedAt-x.presentAt <= promptCrashTime})
+			list = append(list, dispatch.SuspectRun{Run: id, Begun: begun, Soon: begun && inc.failedAt > 0 && inc.failedAt-x.presentAt <= promptCrashTime, Last: x.sentAt >= last})
 		}
 	}
 	return list
 }
 
+// lastConfirmedStart is the time at which the latest of the runs on the worker
+// was started. An order without an answer may have been sent after the crash.
+func (inc *incarnation) lastConfirmedStart() time.Duration {
+	var at time.Duration
+	for _, x := range inc.runs {
+		if x.state == dispatch.RunPresent {
+			at = max(at, x.sentAt)
+		}
+	}
+	return at
+}
+
 // downPromptly reports whether a crash must have come while the worker had a
 // lease: the last lease has not lapsed, or the worker was down within
 // promptDownTime of its last answer. Without a lease the worker runs nothing.
--- a/agent/runner/fresh_test.go
+++ b/agent/runner/fresh_test.go
@@ -33,3 +33,25 @@
 		}
 	}
 }
+
+// Guards against suspicion of runs that had begun earlier than the run that
+// crashed the worker, and against an order sent after the crash that hides it.
+func TestLastStartsBeforeACrash(t *testing.T) {
+	const answered = time.Hour
+	present := func(sent time.Duration) *run {
+		return &run{state: dispatch.RunPresent, presentAt: answered, sentAt: sent}
+	}
+	id := func(n int) workload.RunID { return workload.RunID{Run: n} }
+	inc := &incarnation{answeredAt: answered, runs: map[workload.RunID]*run{
+		id(1): present(answered - 3*lastStartWindow),
+		id(2): present(answered - lastStartWindow/2),
+		id(3): present(answered),
+		id(4): {uncertain: true, sentAt: answered + 3*lastStartWindow},
+	}}
+	want := map[workload.RunID]bool{id(1): false, id(2): true, id(3): true, id(4): true}
+	for _, r := range inc.freshRuns() {
+		if r.Last != want[r.Run] {
+			t.Errorf("run %d: last %t, want %t", r.Run.Run, r.Last, want[r.Run])
+		}
+	}
+}
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -157,6 +157,9 @@
 		answerTimeout := inc.answers.timeout(try)
 		reason := r.sendRefusal(inc, lease, begun)
 		x.calling = reason == ""
+		if x.calling && x.sentAt == 0 {
+			x.sentAt = r.deps.Now()
+		}
 		r.mu.Unlock()
 		if reason != "" {
 			r.abandonStart(ctx, inc, x, reason)
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -178,6 +178,8 @@
 	// presentAt is the time at which the run was first known to be on the
 	// worker, or, for a run of a gang, to work there; 0 before.
 	presentAt time.Duration
+	// sentAt is the time at which the run's first start order was sent; 0 before.
+	sentAt time.Duration
 	// inherited says that the run is of an earlier process of this agent.
 	inherited bool
 	// provenReported says that the run was reported as proven (see proven).
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -23,6 +23,12 @@
 	// the task's start after which the job is failed. Only the last must be
 	// certain.
 	quickCrashesToFail = 3
+	// primeCrashesToFail is the number of consecutive crashes with the task as a
+	// prime suspect after which the job is failed, if the last is certain.
+	primeCrashesToFail = 2
+	// solePrimeCrashesToFail is that number if the last is not certain, but no other
+	// job has a prime suspect.
+	solePrimeCrashesToFail = 3
 	// maxCrashes is the number of crashes after which a task's job is failed even
 	// if each of them may have had another cause.
 	maxCrashes = 5
@@ -59,8 +65,11 @@
 	task *task
 	run  workload.RunID
 	// begun says that the run was certainly on the worker, soon that the worker
-	// crashed within moments of the run's start.
-	begun, soon bool
+	// crashed within moments of the run's start, last that the run was among the
+	// last that were started there.
+	begun, soon, last bool
+	// prime: see markPrime.
+	prime bool
 }
 
 // suspects lists the tasks that may be the cause of the loss of w. The caller
@@ -74,7 +83,7 @@
 		}
 		fresh, named := loss.fresh[r]
 		if loss.judged && named || !loss.judged && !k.provenOn(w) {
-			list = append(list, suspect{job: j, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon})
+			list = append(list, suspect{job: j, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon, last: fresh.Last})
 		}
 	}
 	return list
@@ -104,12 +113,14 @@
 // fails the jobs that are known to crash workers, and jobs that were suspected
 // too often. The caller holds mu and has removed the runs of w.
 func (t *Term) recordSuspects(w *worker, loss workerLoss, suspects []suspect) {
+	markPrime(suspects)
 	for _, s := range suspects {
 		s.task.crashes++
+		s.task.primeCrashes = nextConsecutive(s.task.primeCrashes, s.prime)
 		s.task.crashedAt, s.task.crashedOn = time.Now(), w.agent
-		s.task.quickCrashes = s.task.nextQuickCrashes(s.soon)
+		s.task.quickCrashes = nextConsecutive(s.task.quickCrashes, s.soon)
 		t.deps.Counters.Blamed.Add(1)
-		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).Bool("soon", s.soon).
+		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).Bool("soon", s.soon).Bool("prime", s.prime).
 			Msg("run may have crashed its worker")
 	}
 	// The suspects are kept: if w is only unreachable now, a certain crash is
@@ -118,20 +129,52 @@
 	if loss.crashed {
 		t.countCertainCrash(w.suspects)
 	}
+	sole := solePrime(suspects)
 	for _, s := range suspects {
-		if s.task.crashes >= maxCrashes {
+		if s.task.crashes >= maxCrashes || sole && s.prime && s.task.primeCrashes >= solePrimeCrashesToFail {
 			t.failCrashingJob(s)
 		}
 	}
 }
 
-// nextQuickCrashes returns quickCrashes after one more crash; 0 if not a quick
-// one.
-func (k *task) nextQuickCrashes(soon bool) int {
-	if !soon {
+// markPrime marks the prime suspects of a crash: of the runs that were the last
+// to start on the worker, those whose tasks were suspected most often before. A
+// task that crashes its workers does so within moments of its start, and again
+// wherever it runs, whereas a task beside it is rarely suspected twice.
+func markPrime(suspects []suspect) {
+	most := 0
+	for _, s := range suspects {
+		if s.last {
+			most = max(most, s.task.crashes)
+		}
+	}
+	for i := range suspects {
+		s := &suspects[i]
+		s.prime = s.last && s.task.crashes == most
+	}
+}
+
+// solePrime reports whether all prime suspects belong to one job.
+func solePrime(suspects []suspect) bool {
+	var found *job
+	for _, s := range suspects {
+		if s.prime && found != nil && s.job != found {
+			return false
+		}
+		if s.prime {
+			found = s.job
+		}
+	}
+	return found != nil
+}
+
+// nextConsecutive returns the length of a series after one more event, which
+// continues or ends the series.
+func nextConsecutive(n int, continues bool) int {
+	if !continues {
 		return 0
 	}
-	return k.quickCrashes + 1
+	return n + 1
 }
 
 // countCertainCrash counts a certain crash if all suspects belong to one job,
@@ -150,7 +193,7 @@
 		}
 		s.task.certain++
 		t.markDirty(s.job)
-		if s.task.certain >= crashesToFail || s.task.quickCrashes >= quickCrashesToFail {
+		if s.task.certain >= crashesToFail || s.task.quickCrashes >= quickCrashesToFail || s.task.primeCrashes >= primeCrashesToFail {
 			t.failCrashingJob(s)
 		}
 	}
@@ -171,6 +214,6 @@
 	if k.crashes == 0 {
 		return
 	}
-	k.crashes, k.certain, k.quickCrashes = 0, 0, 0
+	k.crashes, k.certain, k.quickCrashes, k.primeCrashes = 0, 0, 0, 0
 	t.markDirty(j)
 }
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,11 @@
 // as crashed, with these runs as suspects. begun says that the runs were
 // certainly there, soon that they began moments before the crash.
 func (t *Term) crashWorker(id workload.WorkerID, begun, soon bool, jobs ...workload.JobID) {
+	t.crashWorkerAfter(id, begun, soon, nil, jobs...)
+}
+
+// crashWorkerAfter is crashWorker with the jobs in last as the last to start there.
+func (t *Term) crashWorkerAfter(id workload.WorkerID, begun, soon bool, last []workload.JobID, jobs ...workload.JobID) {
 	w := newWorker(id, "node")
 	t.workers[id] = w
 	fresh := map[workload.RunID]dispatch.SuspectRun{}
@@ -33,7 +39,7 @@
 		s.waiting--
 		r := workload.RunID{Task: workload.TaskID{Job: j}, Run: k.run}
 		w.add(r, s.spec)
-		fresh[r] = dispatch.SuspectRun{Run: r, Begun: begun, Soon: soon}
+		fresh[r] = dispatch.SuspectRun{Run: r, Begun: begun, Soon: soon, Last: slices.Contains(last, j)}
 	}
 	t.removeWorker(id, workerLoss{judged: true, fresh: fresh})
 }
@@ -70,6 +76,47 @@
 	}
 }
 
+// Guards against a task that crashes many workers before its job is failed,
+// although it was the last to start on each of them.
+func TestPrimeSuspectFailsAfterFewCrashes(t *testing.T) {
+	type crash struct{ last, jobs []workload.JobID }
+	both, a, b := []workload.JobID{"a", "b"}, []workload.JobID{"a"}, []workload.JobID{"b"}
+	cases := []struct {
+		name    string
+		crashes []crash
+		want    workload.State
+	}{
+		{"last among others, then alone", []crash{{a, both}, {a, a}}, workload.Failed},
+		{"once, alone", []crash{{a, a}}, workload.Queued},
+		{"another job's task started later", []crash{{b, both}, {a, a}}, workload.Queued},
+		{"twice last among others", []crash{{a, both}, {a, both}}, workload.Queued},
+		{"three times last among others", []crash{{a, both}, {a, both}, {a, both}}, workload.Failed},
+		{"three times, always with the same other task", []crash{{both, both}, {both, both}, {both, both}}, workload.Queued},
+		{"three times, suspected less often than the other at first", []crash{{b, b}, {both, both}, {a, both}}, workload.Queued},
+	}
+	for _, c := range cases {
+		term := crashTerm("a", "b")
+		for i, x := range c.crashes {
+			term.crashWorkerAfter(workload.WorkerID(rune('0'+i)), true, false, x.last, x.jobs...)
+		}
+		if got := term.jobs["a"].state; got != c.want {
+			t.Errorf("%s: job %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against innocent tasks that wait for a quarantine, in which only the
+// cause of the crash belongs.
+func TestOnlyPrimeSuspectsAreQuarantined(t *testing.T) {
+	term := crashTerm("a", "b")
+	term.crashWorkerAfter("w", true, true, []workload.JobID{"a"}, "a", "b")
+	for id, want := range map[workload.JobID]bool{"a": true, "b": false} {
+		if got := term.jobs[id].occurrences[0].steps[0].awaitsQuarantine(time.Now()); got != want {
+			t.Errorf("job %s awaits quarantine: %t, want %t", id, got, want)
+		}
+	}
+}
+
 // Failure guarded against: a gang is placed on a worker whose capacity has
 // shrunk since the worker was put in quarantine for the gang's job.
 func TestGangWaitsWhereItNoLongerFits(t *testing.T) {
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -60,6 +60,9 @@
 	crashedAt    time.Time
 	crashedOn    string
 	quickCrashes int
+	// primeCrashes counts, likewise, the consecutive crashes with the task as a
+	// prime suspect (see markPrime).
+	primeCrashes int
 	// presentAt is when the agent first reported that the placed run is on its
 	// worker; 0 before.
 	presentAt time.Duration
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -8,11 +8,11 @@
 	"persimmonrock.example/structs/workload"
 )
 
-// A task is next started in quarantine if it may have crashed a worker within
-// moments of the task's start, or two workers at any time. In quarantine, no
-// task of another job has begun on the worker lately, and none begins until the
-// suspect task is proven (see crash.go). So a crash there shows its cause.
-// Workers with few runs are preferred, as a crash ends all of them.
+// A task is next started in quarantine if it was a prime suspect of a crash, or
+// may have crashed two workers. In quarantine, no task of another job has begun on
+// the worker lately, and none begins until the suspect task is proven (see
+// crash.go). So a crash there shows its cause. Workers with few runs are preferred,
+// as a crash ends all of them.
 
 const (
 	// quarantineWait bounds a task's wait for a quarantine. Then the task starts
@@ -40,7 +40,7 @@
 
 // awaitsQuarantine reports whether the task waits for a quarantine.
 func (k *task) awaitsQuarantine(now time.Time) bool {
-	suspicious := k.crashes >= quarantineCrashes || k.quickCrashes > 0
+	suspicious := k.crashes >= quarantineCrashes || k.primeCrashes > 0
 	return k.state == taskWaiting && suspicious && now.Sub(k.crashedAt) < quarantineWait
 }
 
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -169,11 +169,12 @@
 // SuspectRun is a run that may have crashed its worker. Begun says that the run
 // was certainly on the worker, and not for long; without Begun, one of the two
 // is uncertain. Soon says that the worker stopped answering shortly after the
-// run's start.
+// run's start. Last says that the run was among the last that were started there.
 type SuspectRun struct {
 	Run   workload.RunID
 	Begun bool
 	Soon  bool
+	Last  bool
 }
 
 // RunState is the state of a run as known to its agent.
