A suspect's wait for a quarantine begins when there is capacity for it

What callers saw: while more work waited than the workers could do, suspects of a crash started again beside other jobs, and took their runs with a second worker.

Cause: the wait of two seconds counted from the crash.

Now the wait counts from the first plan in which a worker has capacity for the task. A lasting task's wait still counts from the crash.

Tests: TestSuspectIsQuarantinedHoweverLateItsTurnComes, red before; TestWaitForQuarantineIsBoundedOnceThereIsCapacity.

--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -62,6 +62,7 @@
 // suspect is a task that may have crashed its worker.
 type suspect struct {
 	job  *job
+	step *step
 	task *task
 	run  workload.RunID
 	// begun says that the run was certainly on the worker, soon that the worker
@@ -77,13 +78,13 @@
 func (t *Term) suspects(w *worker, loss workerLoss) []suspect {
 	var list []suspect
 	for r := range w.runs {
-		j, _, k := t.placedRun(w, r)
+		j, s, k := t.placedRun(w, r)
 		if k == nil || k.storedRun < r.Run {
 			continue
 		}
 		fresh, named := loss.fresh[r]
 		if loss.judged && named || !loss.judged && !k.provenOn(w) {
-			list = append(list, suspect{job: j, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon, last: fresh.Last})
+			list = append(list, suspect{job: j, step: s, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon, last: fresh.Last})
 		}
 	}
 	return list
@@ -117,7 +118,10 @@
 	for _, s := range suspects {
 		s.task.crashes++
 		s.task.primeCrashes = nextConsecutive(s.task.primeCrashes, s.prime)
-		s.task.crashedAt, s.task.crashedOn = time.Now(), w.agent
+		s.task.crashedOn, s.task.couldStart = w.agent, time.Time{}
+		if s.step.spec.Lasting {
+			s.task.couldStart = time.Now()
+		}
 		s.task.quickCrashes = nextConsecutive(s.task.quickCrashes, s.soon)
 		t.deps.Counters.Blamed.Add(1)
 		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).Bool("soon", s.soon).Bool("prime", s.prime).
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"persimmonrock.example/structs/workload"
@@ -117,6 +118,54 @@
 	}
 }
 
+// Guards against a suspect that starts beside other jobs because, by its turn, the
+// wait for a quarantine is over.
+func TestSuspectIsQuarantinedHoweverLateItsTurnComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term := crashTerm("a")
+		s := term.jobs["a"].occurrences[0].steps[0]
+		s.spec.Need = workload.Resources{CPU: 1000}
+		term.crashWorkerAfter("w", true, true, []workload.JobID{"a"}, "a")
+		time.Sleep(2 * quarantineWait)
+		w := newWorker("w-2", "node-2")
+		w.alive, w.info = true, workload.Worker{ID: "w-2", Service: "s", Capacity: workload.Resources{CPU: 1000}}
+		term.workers[w.id] = w
+		term.plan()
+		if s.tasks[0].state != taskPlaced || w.quarantine == nil {
+			t.Errorf("task state %d, quarantine %v", s.tasks[0].state, w.quarantine)
+		}
+	})
+}
+
+// Guards against a suspect that waits for a quarantine for longer than
+// quarantineWait though a worker has capacity for it.
+func TestWaitForQuarantineIsBoundedOnceThereIsCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term := crashTerm("a")
+		s := term.jobs["a"].occurrences[0].steps[0]
+		term.crashWorkerAfter("w", true, true, []workload.JobID{"a"}, "a")
+		other := newWorker("w-2", "node-2")
+		other.alive, other.info = true, workload.Worker{ID: "w-2", Service: "s"}
+		other.quarantine = &quarantine{job: "b", since: time.Now(), used: true}
+		free := newWorker("w-3", "node-3")
+		free.alive, free.info = true, workload.Worker{ID: "w-3", Service: "s"}
+		term.workers[other.id], term.workers[free.id] = other, free
+		term.addJob(workload.Job{ID: "b", Queue: workload.Queue{Name: "q", Service: "s"}, Steps: []workload.Step{{Count: 1, Lasting: true}}})
+		k := &term.jobs["b"].occurrences[0].steps[0].tasks[0]
+		k.state, k.run, k.worker, k.crashes = taskPlaced, 1, "w-2", 1
+		other.add(workload.RunID{Task: workload.TaskID{Job: "b"}, Run: 1}, &workload.Step{})
+		term.plan()
+		if s.tasks[0].state == taskPlaced {
+			t.Fatal("the suspect started outside a quarantine at once")
+		}
+		time.Sleep(quarantineWait + time.Millisecond)
+		term.plan()
+		if s.tasks[0].state != taskPlaced {
+			t.Error("the suspect still waits")
+		}
+	})
+}
+
 // Failure guarded against: a gang is placed on a worker whose capacity has
 // shrunk since the worker was put in quarantine for the gang's job.
 func TestGangWaitsWhereItNoLongerFits(t *testing.T) {
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -52,17 +52,21 @@
 	failedAt time.Duration
 	// crashes counts the workers that the task may have crashed since one of its
 	// runs was last done or proven (see crash.go). certain counts the crashes that
-	// no other job can have caused. The latest of these workers was lost at
-	// crashedAt, on the machine crashedOn. quickCrashes counts the consecutive
-	// crashes within moments of the task's start that this term has observed.
+	// no other job can have caused. The latest of these workers was on the machine
+	// crashedOn. quickCrashes counts the consecutive crashes within moments of the
+	// task's start that this term has observed.
 	crashes      int
 	certain      int
-	crashedAt    time.Time
 	crashedOn    string
 	quickCrashes int
 	// primeCrashes counts, likewise, the consecutive crashes with the task as a
 	// prime suspect (see markPrime).
 	primeCrashes int
+	// couldStart is the time of the first plan since the last crash in which a
+	// worker had capacity for the task, which waited for a quarantine; zero before.
+	// For a lasting task, it is the time of the crash: among short tasks, capacity
+	// may never become free for a lasting one that waits.
+	couldStart time.Time
 	// presentAt is when the agent first reported that the placed run is on its
 	// worker; 0 before.
 	presentAt time.Duration
@@ -313,7 +317,10 @@
 		}
 		t := &s.tasks[tr.Index]
 		t.run, t.storedRun, t.failures, t.checkpoint = tr.Run, tr.Run, tr.Fails, tr.Checkpoint
-		t.crashes, t.certain, t.crashedAt = tr.Crashes, tr.Certain, now
+		t.crashes, t.certain = tr.Crashes, tr.Certain
+		if s.spec.Lasting {
+			t.couldStart = now
+		}
 		if tr.Worker > 0 && tr.Worker <= len(workers) {
 			ref := workers[tr.Worker-1]
 			t.state, t.agent, t.worker = taskPlaced, ref.Agent, ref.Worker
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -15,9 +15,9 @@
 // as a crash ends all of them.
 
 const (
-	// quarantineWait bounds a task's wait for a quarantine. Then the task starts
-	// anywhere: its client must not see a job that stands still beside free
-	// capacity.
+	// quarantineWait bounds a task's wait for a quarantine, from the first plan in
+	// which a worker has capacity for the task. Then the task starts anywhere: its
+	// client must not see a job that stands still beside free capacity.
 	quarantineWait = 2 * time.Second
 	// quarantineCrashes is the number of crashes from which a task is quarantined,
 	// however long after its start they came. Most tasks suspected of one crash
@@ -41,7 +41,7 @@
 // awaitsQuarantine reports whether the task waits for a quarantine.
 func (k *task) awaitsQuarantine(now time.Time) bool {
 	suspicious := k.crashes >= quarantineCrashes || k.primeCrashes > 0
-	return k.state == taskWaiting && suspicious && now.Sub(k.crashedAt) < quarantineWait
+	return k.state == taskWaiting && suspicious && (k.couldStart.IsZero() || now.Sub(k.couldStart) < quarantineWait)
 }
 
 // awaitsQuarantine reports whether any task of the step waits for a quarantine.
@@ -54,6 +54,16 @@
 	return false
 }
 
+// recordCouldStart records that a worker has capacity for the tasks of the step
+// that wait for a quarantine.
+func (s *step) recordCouldStart(now time.Time) {
+	for i := range s.tasks {
+		if k := &s.tasks[i]; k.couldStart.IsZero() && k.awaitsQuarantine(now) {
+			k.couldStart = now
+		}
+	}
+}
+
 // endQuarantines ends the quarantine of workers whose job has ended, has no
 // suspect task left there, or was not placed there within quarantineWait. The
 // caller holds mu.
@@ -90,6 +100,9 @@
 	s := o.steps[si]
 	v.countStep(s)
 	n, busy := t.quarantineWorker(v, j, s, now)
+	if n >= 0 || v.bestQuarantine(s) >= 0 {
+		s.recordCouldStart(now)
+	}
 	if n < 0 {
 		return busy
 	}
