--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -166,6 +166,31 @@
 	})
 }
 
+// Guards against suspects of several jobs on one worker, whose crash shows nothing
+// about any of them.
+func TestSuspectsOfDifferentJobsStartApart(t *testing.T) {
+	term := crashTerm("a", "b")
+	jobs := []workload.JobID{"a", "b"}
+	term.crashWorkerAfter("w", true, true, jobs, jobs...)
+	for _, id := range jobs {
+		// Each has waited for a quarantine long enough.
+		term.jobs[id].occurrences[0].steps[0].tasks[0].couldStart = time.Now().Add(-quarantineWait)
+	}
+	for _, id := range []workload.WorkerID{"w-1", "w-2"} {
+		w := newWorker(id, "node-"+string(id))
+		w.alive, w.info = true, workload.Worker{ID: id, Service: "s", Capacity: workload.Resources{CPU: 1000}}
+		term.workers[id] = w
+	}
+	// Alone, each would be placed on w-1, where most capacity is free.
+	term.workers["w-2"].info.Capacity.CPU = 500
+	term.workers["w-2"].add(workload.RunID{Task: workload.TaskID{Job: "c"}, Run: 1}, &workload.Step{Need: workload.Resources{CPU: 400}})
+	term.plan()
+	a, b := term.jobs["a"].occurrences[0].steps[0].tasks[0], term.jobs["b"].occurrences[0].steps[0].tasks[0]
+	if a.state != taskPlaced || b.state != taskPlaced || a.worker == b.worker {
+		t.Errorf("placed on %q and %q", a.worker, b.worker)
+	}
+}
+
 // Failure guarded against: a gang is placed on a worker whose capacity has
 // shrunk since the worker was put in quarantine for the gang's job.
 func TestGangWaitsWhereItNoLongerFits(t *testing.T) {
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -123,8 +123,13 @@
 		if !full {
 			avoid := v.index(k.avoid)
 			excluded := v.mustAvoid(s.spec, avoid, k.failedAt)
+			lift := func() {}
+			if k.primeCrashes > 0 {
+				lift = t.barOtherSuspects(v, j, now)
+			}
 			n = placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
-			if n < 0 && excluded {
+			lift()
+			if n < 0 && (excluded || k.primeCrashes > 0) {
 				continue
 			}
 		}
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -250,6 +250,38 @@
 	return cmp.Or(cmp.Compare(before(a), before(b)), cmp.Compare(len(a.runs), len(b.runs))) < 0
 }
 
+// barOtherSuspects bars the candidates on which a prime suspect of another job
+// has begun lately: after a crash, nothing would tell the two apart. The returned
+// function lifts the bars.
+func (t *Term) barOtherSuspects(v *view, j *job, now time.Time) (lift func()) {
+	var barred []int
+	for i, w := range v.workers {
+		if !v.candidates[i].Barred && t.runsUnprovenSuspect(w, j, now) {
+			v.candidates[i].Barred = true
+			barred = append(barred, i)
+		}
+	}
+	return func() {
+		for _, i := range barred {
+			v.candidates[i].Barred = false
+		}
+	}
+}
+
+// runsUnprovenSuspect reports whether a prime suspect of another job than j has
+// begun on w lately.
+func (t *Term) runsUnprovenSuspect(w *worker, j *job, now time.Time) bool {
+	for r := range w.runs {
+		if r.Task.Job == j.spec.ID {
+			continue
+		}
+		if _, _, k := t.placedRun(w, r); k != nil && k.primeCrashes > 0 && now.Sub(k.placedAt) < assumedProvenAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // othersProven reports whether all runs of other jobs on w count as proven.
 func (t *Term) othersProven(w *worker, j *job, now time.Time) bool {
 	for r := range w.runs {
