Overdue jobs that may crash their workers come after the other overdue ones

What callers saw: while more work waited than the workers could do, jobs without any part in it lost 2 s of a quarter of the workers with each further crash of a task that was long suspected.

Now an overdue job with a prime suspect is planned after the other overdue jobs of its priority. Capacity that is left then is needed by nobody else, so up to half of the workers, not a quarter, may be in quarantine for such jobs.

Tests: TestOverdueSuspectsComeLast.

--- a/decide/order/order.go
+++ b/decide/order/order.go
@@ -34,6 +34,9 @@
 type Key struct {
 	Priority int
 	Class    Class
+	// Suspect is set for an overdue job that may crash its workers. Such jobs come
+	// after the other overdue ones, which would lose their runs with a worker.
+	Suspect bool
 	// Work is the remaining filling work of the job, in core-seconds; 0 for
 	// jobs without any.
 	Work float64
@@ -51,11 +54,24 @@
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Class, b.Class),
+		compareBool(a.Suspect, b.Suspect),
 		cmp.Compare(a.Work, b.Work),
 		cmp.Compare(a.By, b.By),
 	)
 }
 
+// compareBool compares two flags; false comes first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Work is the remaining filling work of a job, in core-seconds: step i has
 // remaining(i) unfinished tasks, and each of them takes durations[i].
 func Work(steps []workload.Step, durations []time.Duration, remaining func(i int) int) float64 {
--- a/decide/order/order_test.go
+++ b/decide/order/order_test.go
@@ -136,3 +136,19 @@
 		t.Errorf("order %v, want %v", got, want)
 	}
 }
+
+// Guards against overdue jobs that lose their runs to one that crashes its
+// workers, while they could be served before it.
+func TestOverdueSuspectsComeLast(t *testing.T) {
+	suspect := Key{Class: Overdue, Suspect: true, By: time.Second}
+	for name, other := range map[string]Key{
+		"overdue": {Class: Overdue, By: time.Minute}, "overdue, with filling work": {Class: Overdue, Work: 100, By: time.Minute}, "late": {Class: Late, By: time.Minute},
+	} {
+		if suspect.Compare(other) <= 0 || other.Compare(suspect) >= 0 {
+			t.Errorf("an overdue suspect comes before a job that is %s", name)
+		}
+	}
+	if suspect.Compare(Key{Priority: 1}) >= 0 {
+		t.Error("an overdue suspect comes after a job of lower priority")
+	}
+}
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -118,6 +118,7 @@
 	for _, s := range suspects {
 		s.task.crashes++
 		s.task.primeCrashes = nextConsecutive(s.task.primeCrashes, s.prime)
+		s.job.suspect = s.job.suspect || s.prime
 		s.task.crashedOn, s.task.couldStart = w.agent, time.Time{}
 		if s.step.spec.Lasting {
 			s.task.couldStart = time.Now()
@@ -219,5 +220,7 @@
 		return
 	}
 	k.crashes, k.certain, k.quickCrashes, k.primeCrashes = 0, 0, 0, 0
+	j.suspect = false
+	j.each(func(_ workload.TaskID, _ *step, other *task) { j.suspect = j.suspect || other.primeCrashes > 0 })
 	t.markDirty(j)
 }
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -139,6 +139,8 @@
 	// durationsTimed tasks had been timed.
 	durations      []time.Duration
 	durationsTimed int
+	// suspect says that a task of the job is a prime suspect (see markPrime).
+	suspect bool
 	// key is the job's place in the order of the last plan.
 	key order.Key
 }
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -24,8 +24,10 @@
 	// are not its cause, and would wait without need.
 	quarantineCrashes = 2
 	// quarantineShare is the share of a service's workers, one at least, that may
-	// be in quarantine at the same time.
-	quarantineShare = 1.0 / 4
+	// be in quarantine at the same time. For a job that is planned after all others,
+	// with capacity that they leave, it is spareQuarantineShare.
+	quarantineShare      = 1.0 / 4
+	spareQuarantineShare = 1.0 / 2
 	// assumedProvenAfter is the age at which another job's run counts as harmless.
 	assumedProvenAfter = 1300 * time.Millisecond
 )
@@ -156,10 +158,14 @@
 // says whether a candidate may become available.
 func (t *Term) quarantineWorker(v *view, j *job, s *step, now time.Time) (n int, busy bool) {
 	own, dedicated, all := v.quarantines(j.spec.ID)
+	share := quarantineShare
+	if j.key.Suspect {
+		share = spareQuarantineShare
+	}
 	switch {
 	case own >= 0 && s.permitted(v.workers[own].id, now):
 		return own, true
-	case own >= 0 || dedicated >= max(1, int(quarantineShare*float64(all))):
+	case own >= 0 || dedicated >= max(1, int(share*float64(all))):
 		return -1, true
 	}
 	best := v.bestQuarantine(s)
