Large reads for other entries are made one at a time and shared

Cause: entries that can't read the operator's rows themselves read them through another entry, each by a feed or list of its own.

Now an entry makes such reads for others one at a time, and those that wait for the same rows share the next one. None joins a read that has begun, since its answer may be older than the request; the age of the known drains depends on that. The entry's own copy thus has half of the link at least. Small reads of jobs and agents are made as before.

--- a/entry/relay/read.go
+++ b/entry/relay/read.go
@@ -44,7 +44,7 @@
 	}
 	viaPeer := func(ctx context.Context, l *dispatch.Link) answer {
 		var reply dispatch.RowsReply
-		args := dispatch.ListArgs{Table: table, Part: part, From: from, To: to}
+		args := dispatch.ListArgs{Table: table, Part: part, From: from, To: to, Large: r.directFirst}
 		return peerAnswer(&reply, l.Call(ctx, "Relay.List", args, &reply, readTimeout))
 	}
 	a := r.relay.race(ctx, plan{answerTimeout: hedgeDelay, directFirst: r.directFirst, direct: direct, viaPeer: viaPeer})
@@ -70,7 +70,7 @@
 	}
 	viaPeer := func(ctx context.Context, l *dispatch.Link) answer {
 		var reply dispatch.RowsReply
-		args := dispatch.FeedArgs{Table: table, After: after, Wait: remaining()}
+		args := dispatch.FeedArgs{Table: table, After: after, Wait: remaining(), Large: r.directFirst}
 		return peerAnswer(&reply, l.Call(ctx, "Relay.Feed", args, &reply, args.Wait+readTimeout))
 	}
 	a := r.relay.race(ctx, plan{answerTimeout: wait + r.relay.answerTimeout(), feed: true, directFirst: r.directFirst, direct: direct, viaPeer: viaPeer})
--- a/entry/relay/service.go
+++ b/entry/relay/service.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"time"
 
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/wire/dispatch"
 )
 
 // Service makes calls to the store for other entries, only by the direct path.
-type Service struct{ store rowstore.Store }
+type Service struct {
+	store rowstore.Store
+	large *sharedReads
+}
 
 // Service returns the RPC service for other entries.
-func (s *Store) Service() *Service { return &Service{store: s.direct} }
+func (s *Store) Service() *Service { return &Service{store: s.direct, large: newSharedReads()} }
 
 // Apply implements the RPC method of that name.
 func (r *Service) Apply(args dispatch.ApplyArgs, reply *dispatch.RowsReply) error {
@@ -25,20 +29,39 @@
 
 // List implements the RPC method of that name.
 func (r *Service) List(args dispatch.ListArgs, reply *dispatch.RowsReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-	defer cancel()
-	rows, more, at, err := r.store.List(ctx, args.Table, args.Part, args.From, args.To)
-	reply.Rows, reply.More, reply.At = rows, more, at
-	reply.SetError(err)
+	read := func() (a answer) {
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		defer cancel()
+		a.rows, a.more, a.at, a.err = r.store.List(ctx, args.Table, args.Part, args.From, args.To)
+		return a
+	}
+	if args.Large {
+		setReply(reply, r.large.do(args, read))
+	} else {
+		setReply(reply, read())
+	}
 	return nil
 }
 
 // Feed implements the RPC method of that name.
 func (r *Service) Feed(args dispatch.FeedArgs, reply *dispatch.RowsReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+readTimeout)
-	defer cancel()
-	rows, at, err := r.store.Feed(ctx, args.Table, args.After, args.Wait)
-	reply.Rows, reply.At = rows, at
-	reply.SetError(err)
+	end := time.Now().Add(args.Wait)
+	read := func() (a answer) {
+		wait := max(0, time.Until(end))
+		ctx, cancel := context.WithTimeout(context.Background(), wait+readTimeout)
+		defer cancel()
+		a.rows, a.at, a.err = r.store.Feed(ctx, args.Table, args.After, wait)
+		return a
+	}
+	if args.Large {
+		setReply(reply, r.large.do(dispatch.FeedArgs{Table: args.Table, After: args.After}, read))
+	} else {
+		setReply(reply, read())
+	}
 	return nil
 }
+
+func setReply(reply *dispatch.RowsReply, a answer) {
+	reply.Rows, reply.More, reply.At = a.rows, a.more, a.at
+	reply.SetError(a.err)
+}
--- a/sessions/machines/random_test.go
+++ b/sessions/machines/random_test.go
@@ -54,6 +54,7 @@
 	const times = 8
 	for _, seed := range []uint64{
 		73297, // cancellations did not reach a scheduler whose term was not yet ready
+		83073, // an entry's link carried copies of a large configuration for other entries
 	} {
 		for i := range times {
 			t.Run(fmt.Sprintf("%d/%d", seed, i), func(t *testing.T) { randomDay(t, seed, 0, (*day).readFault) })
--- a/wire/dispatch/relay.go
+++ b/wire/dispatch/relay.go
@@ -11,14 +11,20 @@
 // does not serve.
 type ApplyArgs struct{ Txn rowstore.Txn }
 
-// ListArgs asks an entry to read rows for another entry.
-type ListArgs struct{ Table, Part, From, To string }
+// ListArgs asks an entry to read rows for another entry. Large says that the
+// answer may occupy the link to the store for long.
+type ListArgs struct {
+	Table, Part, From, To string
+	Large                 bool
+}
 
-// FeedArgs asks an entry to wait for changes for another entry.
+// FeedArgs asks an entry to wait for changes for another entry. For Large, see
+// ListArgs.
 type FeedArgs struct {
 	Table string
 	After uint64
 	Wait  time.Duration
+	Large bool
 }
 
 // RowsReply is the store's answer to a relayed call.
