Capacity is held for a lasting task that was suspected of a crash

Found on reading the diff: a prime suspect that fits nowhere, since workers are full or run other suspects, was passed over without a hold. Among short tasks a lasting one would wait for ever.

Test: TestCapacityIsHeldForALastingSuspect, red before.

--- a/entry/scheduler/holdcapacity_test.go
+++ b/entry/scheduler/holdcapacity_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against a lasting task that is starved by short ones after it was
+// suspected of a crash.
+func TestCapacityIsHeldForALastingSuspect(t *testing.T) {
+	now := time.Minute
+	x, s := holdTerm(&now, 1, 1)
+	k := &s.tasks[0]
+	k.crashes, k.primeCrashes, k.couldStart = 1, 1, time.Now().Add(-quarantineWait)
+	x.plan()
+	if k.pin != "w-0" {
+		t.Errorf("capacity is held at %q, want w-0", k.pin)
+	}
+}
+
 // Guards against capacity that stays reserved for a job that has ended.
 func TestHeldCapacityIsReleasedWithItsJob(t *testing.T) {
 	now := time.Minute
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -129,7 +129,12 @@
 			}
 			n = placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
 			lift()
-			if n < 0 && (excluded || k.primeCrashes > 0) {
+			switch {
+			case n < 0 && excluded:
+				continue
+			case n < 0 && k.primeCrashes > 0:
+				// Other tasks of the step may fit where this one is barred.
+				t.holdCapacity(v, j, o, si, i, now)
 				continue
 			}
 		}
