--- a/sessions/machines/random_test.go
+++ b/sessions/machines/random_test.go
@@ -189,7 +189,13 @@
 		func() { entry.Stop(); time.Sleep(wait / 8); entry.Start() },
 		func() { agent.Kill(); time.Sleep(wait / 2); agent.Start() },
 		func() { agent.Stop(wait / 2); time.Sleep(wait / 8); agent.Start() },
-		func() { agent.Stop(wait / 2); agent.Worker().Kill(); time.Sleep(wait / 2); agent.NewWorker(); agent.Start() },
+		func() {
+			agent.Stop(wait / 2)
+			agent.Worker().Kill()
+			time.Sleep(wait / 2)
+			agent.NewWorker()
+			agent.Start()
+		},
 		func() { sim.Cut(agent.Node, true); time.Sleep(wait); sim.Cut(agent.Node, false) },
 		func() { sim.Cut(entry.Node, true); time.Sleep(wait); sim.Cut(entry.Node, false) },
 		func() { agent.Worker().Crash(); time.Sleep(wait / 2); agent.NewWorker() },
