--- a/entry/relay/shared_test.go
+++ b/entry/relay/shared_test.go
@@ -16,13 +16,14 @@
 func TestLargeReadsForOtherEntriesShareTheLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSharedReads()
-		var version uint64 = 1
+		var version atomic.Uint64
+		version.Store(1)
 		var reads, concurrent, most atomic.Int64
 		read := func() answer {
 			reads.Add(1)
 			most.Store(max(most.Load(), concurrent.Add(1)))
 			defer concurrent.Add(-1)
-			a := answer{at: rowstore.Stamp{Version: version}}
+			a := answer{at: rowstore.Stamp{Version: version.Load()}}
 			time.Sleep(time.Second)
 			return a
 		}
@@ -36,7 +37,7 @@
 		}
 		ask("feed", 1)
 		time.Sleep(500 * time.Millisecond)
-		version = 2
+		version.Store(2)
 		for range 3 {
 			ask("feed", 2)
 		}
