--- a/entry/scheduler/drain.go
+++ b/entry/scheduler/drain.go
@@ -155,7 +155,7 @@
 		}
 		id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
 		t.deps.Counters.Drained.Add(1)
-		t.moveTo(v, movable{id: id, job: j, step: s, task: k}, to, "drain")
+		t.moveTo(v, taskRef{id: id, job: j, step: s, task: k}, to, "drain")
 		v.reserve(to, s.spec)
 		left--
 		moved = true
--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	w := v.workers[n]
-	w.hold(movable{id: id, job: j, step: s, task: k}, now)
+	w.hold(taskRef{id: id, job: j, step: s, task: k}, now)
 	v.candidates[n].Free = v.candidates[n].Free.Sub(s.spec.Reserved())
 	if w.id != before {
 		t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Str("room", string(w.id)).Msg("capacity held for the task's next placement")
@@ -44,9 +44,9 @@
 }
 
 // hold holds capacity on w for the next run of a task.
-func (w *worker) hold(m movable, now time.Time) {
-	m.task.pin, m.task.pinUntil, m.task.moving = w.id, now.Add(pinFor), false
-	w.held[m.id] = heldCapacity{need: m.step.spec.Reserved(), job: m.job, task: m.task}
+func (w *worker) hold(r taskRef, now time.Time) {
+	r.task.pin, r.task.pinUntil, r.task.moving = w.id, now.Add(pinFor), false
+	w.held[r.id] = heldCapacity{need: r.step.spec.Reserved(), job: r.job, task: r.task}
 }
 
 // unpin releases the capacity that is held for a task, if any.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -113,34 +113,21 @@
 	}
 	now := time.Now()
 	t.placePinned(v, j, o, si, now)
+	// full says that the step fits nowhere; its further tasks can only hold capacity.
 	full := false
 	for i := range s.tasks {
 		k := &s.tasks[i]
-		if !k.mayStart(now) || k.moving && k.pin != "" && now.Before(k.pinUntil) {
+		if !k.mayStart(now) || k.waitsForMove(now) {
 			continue
 		}
 		n := -1
 		if !full {
-			avoid := v.index(k.avoid)
-			excluded := v.mustAvoid(s.spec, avoid, k.failedAt)
-			lift := func() {}
-			if k.primeCrashes > 0 {
-				lift = t.barOtherSuspects(v, j, now)
-			}
-			n = placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
-			lift()
-			switch {
-			case n < 0 && excluded:
-				continue
-			case n < 0 && k.primeCrashes > 0:
-				// Other tasks of the step may fit where this one is barred.
-				t.holdCapacity(v, j, o, si, i, now)
-				continue
-			}
+			var taskOnly bool
+			n, taskOnly = t.chooseWorker(v, j, s, k, now)
+			full = n < 0 && !taskOnly
 		}
 		if n < 0 {
-			full = true
-			if !t.holdCapacity(v, j, o, si, i, now) {
+			if held := t.holdCapacity(v, j, o, si, i, now); full && !held {
 				return
 			}
 			continue
@@ -155,12 +142,29 @@
 	}
 }
 
+// chooseWorker returns the candidate on which a task of the step is to be placed, or
+// -1. If it is -1 and taskOnly is set, other tasks of the step may fit.
+func (t *Term) chooseWorker(v *view, j *job, s *step, k *task, now time.Time) (n int, taskOnly bool) {
+	avoid := v.index(k.avoid)
+	excluded := v.mustAvoid(s.spec, avoid, k.failedAt)
+	if k.primeCrashes > 0 {
+		defer t.barOtherSuspects(v, j, now)()
+	}
+	n = placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
+	return n, excluded || k.primeCrashes > 0
+}
+
 // mayStart reports whether a task waits and may be placed now, outside a
 // quarantine.
 func (k *task) mayStart(now time.Time) bool {
 	return k.state == taskWaiting && !k.notBefore.After(now) && !k.awaitsQuarantine(now)
 }
 
+// waitsForMove reports whether the task waits for the worker to which it is moved.
+func (k *task) waitsForMove(now time.Time) bool {
+	return k.moving && k.pin != "" && now.Before(k.pinUntil)
+}
+
 const (
 	// waitLimit is the time after the deadline of an overdue job (order.Key.By)
 	// for which the job still waits for a worker on which it does not press. Then
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -31,7 +31,8 @@
 // fleetScale is the number of scaleUnits in n workers, rounded up, at least 1.
 func fleetScale(n int) int { return max(1, (n+scaleUnit-1)/scaleUnit) }
 
-type movable struct {
+// taskRef is a task with its job and step.
+type taskRef struct {
 	id   workload.TaskID
 	job  *job
 	step *step
@@ -76,7 +77,7 @@
 
 // servingTasks lists the placed serving tasks, and counts the tasks for which
 // capacity is held. tasks and found have the same order.
-func (t *Term) servingTasks(v *view) (tasks []pressure.Task, found []movable, moving int) {
+func (t *Term) servingTasks(v *view) (tasks []pressure.Task, found []taskRef, moving int) {
 	now := time.Now()
 	steps := map[*step]int{}
 	for _, j := range t.active {
@@ -100,7 +101,7 @@
 			tasks = append(tasks, pressure.Task{
 				Image: s.spec.Image, Step: steps[s], Worker: w, Need: s.spec.Need, Fixed: !t.mayMove(j, s, k, now), Barred: v.barredFor(j, s, k),
 			})
-			found = append(found, movable{id: id, job: j, step: s, task: k})
+			found = append(found, taskRef{id: id, job: j, step: s, task: k})
 		})
 	}
 	return tasks, found, moving
@@ -144,7 +145,7 @@
 }
 
 // moveTo stops a task and holds capacity for it at another worker.
-func (t *Term) moveTo(v *view, m movable, to int, msg string) {
+func (t *Term) moveTo(v *view, m taskRef, to int, msg string) {
 	w := v.workers[to]
 	m.task.moves++
 	w.hold(m, time.Now())
