Plain wording of the semaphore, of pinned tasks and of a test's name

What a newcomer would stop at: a token and a turn, and what moving means for a task with a pin. TestSuspectIsQuarantinedHoweverLateItsTurnComes is TestSuspectIsQuarantinedHoweverLateThereIsCapacity; its check is as it was.

--- a/entry/relay/shared.go
+++ b/entry/relay/shared.go
@@ -9,8 +9,8 @@
 // Guards against an entry whose link carries several copies of a large row, so
 // that the entry's own copy arrives late.
 type sharedReads struct {
-	// turn holds a token while a read is in progress.
-	turn chan struct{}
+	// semaphore admits one read at a time.
+	semaphore chan struct{}
 
 	mu      sync.Mutex
 	waiting map[any]*sharedRead
@@ -24,7 +24,7 @@
 }
 
 func newSharedReads() *sharedReads {
-	return &sharedReads{turn: make(chan struct{}, 1), waiting: map[any]*sharedRead{}}
+	return &sharedReads{semaphore: make(chan struct{}, 1), waiting: map[any]*sharedRead{}}
 }
 
 // do returns the answer of read, or of the read that another caller has queued
@@ -42,12 +42,14 @@
 	return r.answer
 }
 
+// run makes the read once no other read is in progress. From then on, no further
+// caller joins it.
 func (s *sharedReads) run(key any, r *sharedRead, read func() answer) {
-	s.turn <- struct{}{}
+	s.semaphore <- struct{}{}
 	s.mu.Lock()
 	delete(s.waiting, key)
 	s.mu.Unlock()
 	r.answer = read()
 	close(r.done)
-	<-s.turn
+	<-s.semaphore
 }
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -118,9 +118,9 @@
 	}
 }
 
-// Guards against a suspect that starts beside other jobs because, by its turn, the
-// wait for a quarantine is over.
-func TestSuspectIsQuarantinedHoweverLateItsTurnComes(t *testing.T) {
+// Guards against a suspect that starts outside a quarantine because it had no
+// capacity until long after the crash.
+func TestSuspectIsQuarantinedHoweverLateThereIsCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		term := crashTerm("a")
 		s := term.jobs["a"].occurrences[0].steps[0]
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -32,8 +32,8 @@
 	ordered  bool
 	placedAt time.Time
 	// pin is the worker that holds capacity for the next run. From pinUntil on,
-	// another worker may be chosen. moving says that the task was stopped for a
-	// move to pin; until pinUntil, it waits for that worker alone.
+	// another worker may hold it instead. moving is set if pin is the destination
+	// of a move: until pinUntil, the task is placed on no other worker.
 	pin      workload.WorkerID
 	pinUntil time.Time
 	moving   bool
