A job is not failed for a worker that became unresponsive before its run began

What callers saw: a job without any fault was shown as failed after one worker had crashed.

Now only losses with the run certainly on the worker count towards the limits for prime suspects. Another one neither continues nor ends the series, as it is no evidence either way. Who goes into quarantine is unchanged (task.prime is what primeCrashes > 0 was, also in the setup of a test of held capacity).

Looked for elsewhere: quick and certain crashes need the run on the worker already; maxCrashes counts losses of all kinds by intent, for an unseen cause.

Tests: TestUnconfirmedRunIsNoPrimeCrash, two of four cases red before.

--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -23,8 +23,9 @@
 	// the task's start after which the job is failed. Only the last must be
 	// certain.
 	quickCrashesToFail = 3
-	// primeCrashesToFail is the number of consecutive crashes with the task as a
-	// prime suspect after which the job is failed, if the last is certain.
+	// primeCrashesToFail is the number of consecutive crashes with a run of the task
+	// on the worker, as a prime suspect, after which the job is failed, if the last
+	// is certain.
 	primeCrashesToFail = 2
 	// solePrimeCrashesToFail is that number if the last is not certain, but no other
 	// job has a prime suspect.
@@ -117,7 +118,7 @@
 	markPrime(suspects)
 	for _, s := range suspects {
 		s.task.crashes++
-		s.task.primeCrashes = nextConsecutive(s.task.primeCrashes, s.prime)
+		s.countPrime()
 		s.job.suspect = s.job.suspect || s.prime
 		s.task.crashedOn, s.task.couldStart = w.agent, time.Time{}
 		if s.step.spec.Lasting {
@@ -159,6 +160,19 @@
 	}
 }
 
+// countPrime counts a crash with the task as a prime suspect. A run that may not
+// have been on the worker, as when the worker has become unresponsive, is evidence
+// neither for nor against the task.
+func (s *suspect) countPrime() {
+	s.task.prime = s.prime
+	switch {
+	case !s.prime:
+		s.task.primeCrashes = 0
+	case s.begun:
+		s.task.primeCrashes++
+	}
+}
+
 // solePrime reports whether all prime suspects belong to one job.
 func solePrime(suspects []suspect) bool {
 	var found *job
@@ -219,8 +233,8 @@
 	if k.crashes == 0 {
 		return
 	}
-	k.crashes, k.certain, k.quickCrashes, k.primeCrashes = 0, 0, 0, 0
+	k.crashes, k.certain, k.quickCrashes, k.primeCrashes, k.prime = 0, 0, 0, 0, false
 	j.suspect = false
-	j.each(func(_ workload.TaskID, _ *step, other *task) { j.suspect = j.suspect || other.primeCrashes > 0 })
+	j.each(func(_ workload.TaskID, _ *step, other *task) { j.suspect = j.suspect || other.prime })
 	t.markDirty(j)
 }
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -106,6 +106,35 @@
 	}
 }
 
+// Guards against a job that is failed after one crash, because an earlier worker
+// became unresponsive before the start of the run there was confirmed.
+func TestUnconfirmedRunIsNoPrimeCrash(t *testing.T) {
+	type crash struct {
+		begun bool
+		jobs  []workload.JobID
+	}
+	both, a := []workload.JobID{"a", "b"}, []workload.JobID{"a"}
+	cases := []struct {
+		name    string
+		crashes []crash
+		want    workload.State
+	}{
+		{"unresponsive, then a crash", []crash{{false, a}, {true, a}}, workload.Queued},
+		{"a crash, then unresponsive", []crash{{true, a}, {false, a}}, workload.Queued},
+		{"unresponsive between two crashes", []crash{{true, both}, {false, a}, {true, a}}, workload.Failed},
+		{"as the only prime suspect", []crash{{false, both}, {true, both}, {true, both}}, workload.Queued},
+	}
+	for _, c := range cases {
+		term := crashTerm("a", "b")
+		for i, x := range c.crashes {
+			term.crashWorkerAfter(workload.WorkerID(rune('0'+i)), x.begun, false, a, x.jobs...)
+		}
+		if got := term.jobs["a"].state; got != c.want {
+			t.Errorf("%s: job %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against innocent tasks that wait for a quarantine, in which only the
 // cause of the crash belongs.
 func TestOnlyPrimeSuspectsAreQuarantined(t *testing.T) {
--- a/entry/scheduler/holdcapacity_test.go
+++ b/entry/scheduler/holdcapacity_test.go
@@ -107,7 +107,7 @@
 	now := time.Minute
 	x, s := holdTerm(&now, 1, 1)
 	k := &s.tasks[0]
-	k.crashes, k.primeCrashes, k.couldStart = 1, 1, time.Now().Add(-quarantineWait)
+	k.crashes, k.prime, k.couldStart = 1, true, time.Now().Add(-quarantineWait)
 	x.plan()
 	if k.pin != "w-0" {
 		t.Errorf("capacity is held at %q, want w-0", k.pin)
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -59,8 +59,10 @@
 	certain      int
 	crashedOn    string
 	quickCrashes int
-	// primeCrashes counts, likewise, the consecutive crashes with the task as a
-	// prime suspect (see markPrime).
+	// prime says that the task is a prime suspect of the latest of these crashes
+	// (see markPrime). primeCrashes counts, likewise, the consecutive crashes with
+	// the task as a prime suspect and its run certainly on the worker.
+	prime        bool
 	primeCrashes int
 	// couldStart is the time of the first plan since the last crash in which a
 	// worker had capacity for the task, which waited for a quarantine; zero before.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -147,11 +147,11 @@
 func (t *Term) chooseWorker(v *view, j *job, s *step, k *task, now time.Time) (n int, taskOnly bool) {
 	avoid := v.index(k.avoid)
 	excluded := v.mustAvoid(s.spec, avoid, k.failedAt)
-	if k.primeCrashes > 0 {
+	if k.prime {
 		defer t.barOtherSuspects(v, j, now)()
 	}
 	n = placement.Choose(placement.Request{Step: s.spec, Avoid: avoid, ExcludeAvoid: excluded, Rack: v.rackOfStep(s)}, v.candidates)
-	return n, excluded || k.primeCrashes > 0
+	return n, excluded || k.prime
 }
 
 // mayStart reports whether a task waits and may be placed now, outside a
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -42,7 +42,7 @@
 
 // awaitsQuarantine reports whether the task waits for a quarantine.
 func (k *task) awaitsQuarantine(now time.Time) bool {
-	suspicious := k.crashes >= quarantineCrashes || k.primeCrashes > 0
+	suspicious := k.crashes >= quarantineCrashes || k.prime
 	return k.state == taskWaiting && suspicious && (k.couldStart.IsZero() || now.Sub(k.couldStart) < quarantineWait)
 }
 
@@ -281,7 +281,7 @@
 		if r.Task.Job == j.spec.ID {
 			continue
 		}
-		if _, _, k := t.placedRun(w, r); k != nil && k.primeCrashes > 0 && now.Sub(k.placedAt) < assumedProvenAfter {
+		if _, _, k := t.placedRun(w, r); k != nil && k.prime && now.Sub(k.placedAt) < assumedProvenAfter {
 			return true
 		}
 	}
