The next scheduler knows how long the leases of lost workers may last

Cause: a scheduler that takes over knows nothing of the leases that the one before it has granted, so it waits for the longest possible one, counted from its own takeover: validity and grant, 8.0 s there and 10.5 s at the default. Each further takeover began this wait anew, also a handover between two entries that live.

Now a term counts the validity of the one before it from the first read of the lease row that it replaces, since no later transaction of that one was stored. A term that releases its lease writes beside it how long the last leases of silent workers may last, and a bound for all others, which includes what it took over itself: a short term must not hide the grants of the one before it. A term that has ended grants nothing more.

Looked for elsewhere: entry/batch counts from when it saw a row change already.

--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -270,7 +270,7 @@
 	lease.Successor = t.successorNode()
 	_, err := t.deps.Store.Apply(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
-		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
+		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}, {Key: leaseEndsKey, Value: encode(t.leaseEnds())}},
 	})
 	t.deps.Log.Info().Err(err).Uint64("epoch", t.epoch).Msg("lease release attempted")
 }
--- /dev/null
+++ b/entry/scheduler/earliergrants.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// earlierGrants bounds the leases that earlier schedulers may have granted to
+// workers, on the clock of this process.
+type earlierGrants struct {
+	// end is when the last of these leases expires; ends holds earlier ends of some
+	// workers.
+	end  time.Duration
+	ends map[workload.WorkerID]time.Duration
+	// releasedBy is the epoch of the scheduler whose release of the lease was first
+	// read at releasedAt; 0 if the lease was not released.
+	releasedBy uint64
+	releasedAt time.Duration
+}
+
+// earlierGrants returns the bound for a term that replaces the lease row last read.
+// Its holder sent the transaction that wrote the row before firstRead, and no later
+// one was stored.
+func (e *Elector) earlierGrants(w *watch, lease leaseRow) earlierGrants {
+	g := earlierGrants{end: w.firstRead + validFor + time.Duration(clockDrift*float64(validFor)) + e.cfg.leaseLength()}
+	if lease.Released {
+		g.releasedBy, g.releasedAt = lease.Epoch, w.firstRead
+	}
+	return g
+}
+
+// endOf is when the last lease expires that earlier schedulers may have granted to
+// the worker.
+func (g *earlierGrants) endOf(id workload.WorkerID) time.Duration {
+	if end, ok := g.ends[id]; ok {
+		return min(end, g.end)
+	}
+	return g.end
+}
+
+// restore adopts what the earlier scheduler knew, if it wrote the row with its
+// release.
+func (g *earlierGrants) restore(row leaseEndsRow) {
+	if g.releasedBy == 0 || row.Epoch != g.releasedBy {
+		return
+	}
+	at := func(left int64) time.Duration { return g.releasedAt + time.Duration(left)*time.Millisecond }
+	g.end = min(g.end, at(row.Others))
+	g.ends = make(map[workload.WorkerID]time.Duration, len(row.Silent))
+	for id, left := range row.Silent {
+		g.ends[id] = at(left)
+	}
+}
+
+// loadLeaseEnds reads the row that the earlier scheduler wrote with the release of
+// its lease.
+func (t *Term) loadLeaseEnds() error {
+	if t.earlier.releasedBy == 0 {
+		return nil
+	}
+	rows, err := t.listAll(leaseTable, schedulerPart)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if row.Key != leaseEndsKey {
+			continue
+		}
+		var ends leaseEndsRow
+		if err := decode(row, &ends); err != nil {
+			t.deps.Log.Error().Err(err).Msg("row of lease ends can't be decoded")
+			continue
+		}
+		t.earlier.restore(ends)
+	}
+	return nil
+}
+
+// leaseEndsKept is the time for which the end of a lost worker's last lease is
+// still left to the next scheduler. By then, its loss is stored.
+const leaseEndsKept = time.Minute
+
+// leaseEnds returns what the next scheduler needs to know of the leases that may
+// have been granted so far. Those of workers whose agents have not answered for a
+// whole Watch call are listed.
+func (t *Term) leaseEnds() leaseEndsRow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.Now()
+	left := func(end time.Duration) int64 { return max(0, end-now).Milliseconds() + 1 }
+	row := leaseEndsRow{
+		Epoch: t.epoch, Silent: map[workload.WorkerID]int64{},
+		Others: left(max(now+t.cfg.leaseLength(), t.earlier.end)),
+	}
+	silent := now + t.cfg.leaseLength() - watchWait - watchSlack
+	for id, w := range t.workers {
+		if w.leaseEnd > 0 && w.leaseEnd < silent && w.leaseEnd > now-leaseEndsKept {
+			row.Silent[id] = left(w.leaseEnd)
+		}
+	}
+	return row
+}
--- /dev/null
+++ b/entry/scheduler/earliergrants_test.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/structs/workload"
+)
+
+const testGrant = 5 * time.Second
+
+// observedLease returns an elector whose clock is now, and its watch of the lease.
+func observedLease(now *time.Duration) (*Elector, *watch) {
+	deps := Deps{Now: func() time.Duration { return *now }}
+	return NewElector(Config{Node: "a", Grant: testGrant}, deps), &watch{}
+}
+
+// Guards against a scheduler that counts the validity of the one before it from the
+// takeover, and against one that counts it from before the row was last written.
+func TestEarlierGrantsCountFromTheFirstReadOfTheLease(t *testing.T) {
+	now := time.Minute
+	e, w := observedLease(&now)
+	read := func(version uint64) time.Duration {
+		_, _ = e.observe(w, rowstore.Row{Version: version})
+		return e.earlierGrants(w, leaseRow{Node: "b"}).end
+	}
+	first := read(7)
+	if atLeast := now + validFor + e.cfg.leaseLength(); first < atLeast {
+		t.Errorf("the bound %v is before the possible end %v", first, atLeast)
+	}
+	now += 3 * maxReadGap
+	if again := read(7); again != first {
+		t.Errorf("the bound moved by %v though the row is unchanged", again-first)
+	}
+	if newer := read(8); newer-first != 3*maxReadGap {
+		t.Errorf("the bound moved by %v with a row written up to %v later", newer-first, 3*maxReadGap)
+	}
+}
+
+// Guards against runs that are started elsewhere while their worker still has the
+// lease of a scheduler that was replaced by one with a short term.
+func TestReleaseKeepsTheBoundOfEarlierTerms(t *testing.T) {
+	now := time.Minute
+	term := loadedTerm(&now, workload.Queue{})
+	term.cfg.Grant = testGrant
+	term.epoch = 9
+	term.earlier.end = now + 3*testGrant
+	for id, left := range map[workload.WorkerID]time.Duration{"silent": time.Second, "gone": -time.Second, "unreported": 3 * testGrant, "answers": term.cfg.leaseLength()} {
+		term.workers[id] = &worker{id: id, leaseEnd: now + left}
+	}
+	g := earlierGrants{end: time.Hour, releasedBy: 9, releasedAt: 2 * time.Minute}
+	g.restore(term.leaseEnds())
+	for id, want := range map[workload.WorkerID]time.Duration{"silent": time.Second, "gone": 0, "unreported": 3 * testGrant, "answers": 3 * testGrant, "unknown": 3 * testGrant} {
+		if left := g.endOf(id) - g.releasedAt; left < want || left > want+2*time.Millisecond {
+			t.Errorf("worker %s: %v left, want %v", id, left, want)
+		}
+	}
+}
+
+// Guards against ends that an earlier scheduler left at another release.
+func TestLeaseEndsOfAnotherReleaseAreIgnored(t *testing.T) {
+	for _, g := range []earlierGrants{{end: time.Hour}, {end: time.Hour, releasedBy: 8, releasedAt: time.Minute}} {
+		g.restore(leaseEndsRow{Epoch: 9, Silent: map[workload.WorkerID]int64{"w": 1}, Others: 1})
+		if end := g.endOf("w"); end != time.Hour {
+			t.Errorf("released by %d: the lease ends at %v", g.releasedBy, end)
+		}
+	}
+}
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -71,8 +71,10 @@
 // watch holds an elector's observations of the lease.
 type watch struct {
 	version uint64
-	// versionSince is when version was first read; lastRead is the latest read.
-	// After maxReadGap without a read, versionSince and watchedSince start anew.
+	// firstRead is when version was first read. versionSince is the same, but it
+	// starts anew after maxReadGap without a read, like watchedSince; lastRead is
+	// the latest read.
+	firstRead    time.Duration
 	versionSince time.Duration
 	lastRead     time.Duration
 	// watchedSince is when the lease was first read.
@@ -122,7 +124,7 @@
 		w.readTime = e.deps.Now() - asked
 		lease, ok := e.observe(&w, row)
 		if ok && e.shouldTake(ctx, &w, lease) {
-			if term := e.acquire(ctx, row); term != nil {
+			if term := e.acquire(ctx, row, e.earlierGrants(&w, lease)); term != nil {
 				e.serve(ctx, term)
 				w = watch{}
 				continue
@@ -154,6 +156,9 @@
 // observe records one read. It returns false if the row can't be decoded.
 func (e *Elector) observe(w *watch, row rowstore.Row) (leaseRow, bool) {
 	now := e.deps.Now()
+	if row.Version != w.version || w.firstRead == 0 {
+		w.firstRead = now
+	}
 	if row.Version != w.version || w.versionSince == 0 || now-w.lastRead > maxReadGap {
 		w.version, w.versionSince = row.Version, now
 		w.resetHolder()
@@ -264,7 +269,7 @@
 }
 
 // acquire takes the lease if row is still current. It returns the term, or nil.
-func (e *Elector) acquire(ctx context.Context, row rowstore.Row) *Term {
+func (e *Elector) acquire(ctx context.Context, row rowstore.Row, earlier earlierGrants) *Term {
 	lease := leaseRow{Node: e.cfg.Node, Process: e.cfg.Process, Address: e.cfg.Address, Count: rand.Uint64() >> 1, Power: e.cfg.Power}
 	sent := e.deps.Now()
 	stamp, err := e.deps.Store.Apply(ctx, rowstore.Txn{
@@ -295,7 +300,7 @@
 	e.setLeader(lease, version)
 	e.deps.Counters.Terms.Add(1)
 	e.deps.Log.Warn().Uint64("epoch", version).Msg("lease taken")
-	return newTerm(ctx, e.cfg, e.deps, lease, version, sent, stamp)
+	return newTerm(ctx, e.cfg, e.deps, earlier, lease, version, sent, stamp)
 }
 
 func (e *Elector) serve(ctx context.Context, term *Term) {
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -84,19 +84,19 @@
 	if l.worker != nil {
 		c.Drained, c.DrainsVersion = l.worker.drained, t.drains.Version
 	}
-	if t.deps.Now() >= t.validUntil || l.process == 0 || l.worker == nil || l.stopping {
+	if t.ctx.Err() != nil || t.deps.Now() >= t.validUntil || l.process == 0 || l.worker == nil || l.stopping {
 		return c
 	}
 	c.Echo = l.echo
 	c.Grant = t.cfg.Grant
-	l.worker.leaseEnd = max(l.worker.leaseEnd, l.lastContact+t.leaseLength())
+	l.worker.leaseEnd = max(l.worker.leaseEnd, l.lastContact+t.cfg.leaseLength())
 	return c
 }
 
 // leaseLength is the longest time that a granted lease may last on a worker
 // whose clock is slow.
-func (t *Term) leaseLength() time.Duration {
-	return t.cfg.Grant + time.Duration(clockDrift*float64(t.cfg.Grant)) + clockMargin
+func (c Config) leaseLength() time.Duration {
+	return c.Grant + time.Duration(clockDrift*float64(c.Grant)) + clockMargin
 }
 
 // watchLoop asks the agent for changes, one call at a time.
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := t.loadLeaseEnds(); err != nil {
+		return 0, err
+	}
 	learnt, err := t.listAll(learntTable, schedulerPart)
 	if err != nil {
 		return 0, err
@@ -168,13 +171,13 @@
 }
 
 // recordedWorker returns the worker of a stored placement. If no agent reports
-// the worker, its runs stay on record until the last lease that the earlier
+// the worker, its runs stay on record until the last lease that an earlier
 // scheduler may have granted has expired.
 func (t *Term) recordedWorker(k *task) *worker {
 	w := t.workers[k.worker]
 	if w == nil {
 		w = newWorker(k.worker, k.agent)
-		w.leaseEnd = t.beganAt + validFor + t.leaseLength()
+		w.leaseEnd = t.earlier.endOf(w.id)
 		t.workers[k.worker] = w
 	}
 	return w
--- a/entry/scheduler/plan_bench_test.go
+++ b/entry/scheduler/plan_bench_test.go
@@ -15,7 +15,7 @@
 // advance.
 func loadedTerm(now *time.Duration, queue workload.Queue) *Term {
 	config := &workload.Config{Version: 1, Queues: []workload.Queue{queue}}
-	t := newTerm(context.Background(), Config{}, Deps{Now: func() time.Duration { return *now }, Config: func() *workload.Config { return config }, Drains: knownDrains, Counters: &Counters{}}, leaseRow{}, 1, 0, rowstore.Stamp{Now: *now})
+	t := newTerm(context.Background(), Config{}, Deps{Now: func() time.Duration { return *now }, Config: func() *workload.Config { return config }, Drains: knownDrains, Counters: &Counters{}}, earlierGrants{}, leaseRow{}, 1, 0, rowstore.Stamp{Now: *now})
 	t.loaded = true
 	t.learner.initMaps()
 	return t
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -35,6 +35,10 @@
 
 var leaseKey = rowstore.Key{Table: leaseTable, Part: schedulerPart, Key: "lease"}
 
+// leaseEndsKey addresses the row that a scheduler writes with the release of its
+// lease.
+var leaseEndsKey = rowstore.Key{Table: leaseTable, Part: schedulerPart, Key: "lease-ends"}
+
 // JobKey addresses the row of an accepted job.
 func JobKey(id workload.JobID) rowstore.Key {
 	return rowstore.Key{Table: JobsTable, Part: jobPart(id), Key: string(id)}
@@ -90,6 +94,17 @@
 	Successor string `json:"h,omitempty"`
 }
 
+// leaseEndsRow holds what a scheduler that releases its lease knows of the leases
+// of workers. Times are in ms from before the row was sent.
+type leaseEndsRow struct {
+	// Epoch is that of the scheduler that wrote the row.
+	Epoch uint64 `json:"e"`
+	// Silent is the time left until the last lease of each worker expires that is
+	// not in contact, Others a bound for all other workers.
+	Silent map[workload.WorkerID]int64 `json:"s,omitempty"`
+	Others int64                       `json:"o"`
+}
+
 // progressRow is the stored progress of a job.
 type progressRow struct {
 	State workload.State `json:"s"`
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -72,6 +72,7 @@
 	epoch uint64
 	// beganAt is when the lease was taken.
 	beganAt time.Duration
+	earlier earlierGrants
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -125,10 +126,10 @@
 	local time.Duration
 }
 
-func newTerm(ctx context.Context, cfg Config, deps Deps, lease leaseRow, version uint64, sent time.Duration, at rowstore.Stamp) *Term {
+func newTerm(ctx context.Context, cfg Config, deps Deps, earlier earlierGrants, lease leaseRow, version uint64, sent time.Duration, at rowstore.Stamp) *Term {
 	ctx, cancel := context.WithCancel(ctx)
 	return &Term{
-		cfg: cfg, deps: deps, epoch: version, beganAt: deps.Now(), ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		cfg: cfg, deps: deps, epoch: version, beganAt: deps.Now(), earlier: earlier, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		adviceRequests: make(chan adviceRequest, adviceQueue), jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{},
 		earlyCancels: map[workload.JobID]bool{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
 		storeClock: storeClock{store: at.Now, local: deps.Now()},
