A stopping agent names the runs that may have crashed its worker

What callers saw: a task that crashes its workers was started six times, three times after three crashes (BUDGET), if one of the crashes came while the worker's agent was stopping. Each further start takes others' runs with it.

A run that crashes the worker in the last moments of the agent was not counted, as the agent exits before its worker's end is known.

The uncounted one is run 6, started 0.4 s before the agent's exit: the agent logs that the worker does not answer, and the scheduler, when the lease ends, "worker lost" with no suspects.

Now an agent that is stopping reports the suspects as soon as a call to the worker fails, and the scheduler suspects these at the end of the lease. Runs of a worker that answers to the end are not suspected, as before.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -78,6 +78,9 @@
 func (r *Runner) recordFailure(inc *incarnation, err error) {
 	if inc.failedAt == 0 && (errors.Is(err, workerctl.ErrUnknown) || errors.Is(err, workerctl.ErrDown)) {
 		inc.failedAt = r.deps.Now()
+		if r.stopping {
+			r.recordChange(true)
+		}
 	}
 	if inc.downAt == 0 && errors.Is(err, workerctl.ErrDown) {
 		inc.downAt = r.deps.Now()
--- a/agent/runner/fresh_test.go
+++ b/agent/runner/fresh_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"persimmonrock.example/infra/workerctl"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -55,3 +56,20 @@
 		}
 	}
 }
+
+// Guards against a crash that nobody counts, because the worker's agent exits
+// before it knows whether the worker has crashed.
+func TestStoppingAgentNamesTheSuspectsOfASilentWorker(t *testing.T) {
+	const answered = time.Hour
+	id := workload.RunID{Run: 1}
+	for _, failed := range []bool{false, true} {
+		inc := &incarnation{answeredAt: answered, runs: map[workload.RunID]*run{id: {state: dispatch.RunPresent, presentAt: answered}}}
+		r := &Runner{stopping: true, incarnation: inc, deps: Deps{Now: func() time.Duration { return answered + time.Second }}, watchWake: make(chan struct{})}
+		if failed {
+			r.recordFailure(inc, workerctl.ErrDown)
+		}
+		if named := len(r.report(0).Fresh) == 1; named != failed {
+			t.Errorf("worker failed to answer: %t, its run is named: %t", failed, named)
+		}
+	}
+}
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -98,6 +98,10 @@
 	reply.Lapsed = inc.lapsed
 	if r.stopping {
 		reply.Stopping, reply.LeaseEnd = true, inc.lastLeaseEnd()
+		if inc.failedAt > 0 {
+			// The process won't see whether the worker has crashed.
+			reply.Fresh = append(reply.Fresh, inc.freshRuns()...)
+		}
 	}
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range inc.runs {
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -220,6 +220,34 @@
 	}
 }
 
+// Guards against a crash that nobody counts, because the worker's agent was
+// stopping, and against suspicion of runs that a planned stop has ended.
+func TestRunsNamedByAStoppingAgentAreSuspected(t *testing.T) {
+	for _, named := range []bool{false, true} {
+		term := crashTerm("a")
+		s := term.jobs["a"].occurrences[0].steps[0]
+		k := &s.tasks[0]
+		run := workload.RunID{Task: workload.TaskID{Job: "a"}, Run: 1}
+		k.state, k.run, k.storedRun, k.worker = taskPlaced, 1, 1, "w"
+		s.waiting--
+		w := newWorker("w", "node")
+		w.alive, w.link = true, &agentLink{term: term}
+		w.add(run, s.spec)
+		term.workers["w"] = w
+		fresh := map[workload.RunID]dispatch.SuspectRun{}
+		if named {
+			fresh[run] = dispatch.SuspectRun{Run: run, Begun: true, Last: true}
+		}
+		w.link.recordStopping(w, &dispatch.WatchReply{LeaseEnd: time.Second}, fresh)
+		at := term.deps.Now()
+		term.deps.Now = func() time.Duration { return at + 2*time.Second }
+		term.expireWorkers()
+		if suspected := k.crashes == 1; k.state != taskWaiting || suspected != named {
+			t.Errorf("named by the agent: %t; task state %d, suspected: %t", named, k.state, suspected)
+		}
+	}
+}
+
 // Failure guarded against: a gang is placed on a worker whose capacity has
 // shrunk since the worker was put in quarantine for the gang's job.
 func TestGangWaitsWhereItNoLongerFits(t *testing.T) {
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -206,7 +206,7 @@
 	wake := l.updateWorker(reply)
 	w := l.worker
 	if reply.Stopping {
-		l.recordStopping(w, reply)
+		l.recordStopping(w, reply, fresh)
 		wake = true
 	}
 	if reply.Sample != nil {
@@ -227,8 +227,10 @@
 
 // recordStopping records that the agent's process is about to exit. Later claims
 // grant nothing, so the worker's last lease is the one that the agent reports.
-func (l *agentLink) recordStopping(w *worker, reply *dispatch.WatchReply) {
+// fresh are the runs that may have crashed the worker, if it no longer answers.
+func (l *agentLink) recordStopping(w *worker, reply *dispatch.WatchReply, fresh map[workload.RunID]dispatch.SuspectRun) {
 	t := l.term
+	w.freshAtStop = fresh
 	left := max(0, reply.LeaseEnd-reply.At)
 	if end := t.deps.Now() + left; w.leaseEnd == 0 || end < w.leaseEnd {
 		w.leaseEnd = end
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -47,8 +47,9 @@
 	lost := false
 	for _, w := range t.workers {
 		if w.leaseEnd > 0 && now > w.leaseEnd && (w.alive || len(w.runs) > 0) {
-			// A planned stop of the agent is not a crash, so no run is suspected.
-			t.requeueRuns(w, workerLoss{reason: "its last lease has expired", judged: w.agentStopping()})
+			// A planned stop of the agent is not a crash, so only the runs that it named
+			// are suspected.
+			t.requeueRuns(w, workerLoss{reason: "its last lease has expired", judged: w.agentStopping(), fresh: w.freshAtStop})
 			lost = true
 		}
 	}
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -6,6 +6,7 @@
 
 	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
 )
 
 // worker is one incarnation of a worker as the scheduler sees it.
@@ -20,6 +21,9 @@
 	alive bool
 	// drained says that the worker's data centre is drained.
 	drained bool
+	// freshAtStop are the runs that may have crashed the worker, as its agent
+	// reported while it was stopping.
+	freshAtStop map[workload.RunID]dispatch.SuspectRun
 	// leaseEnd is when the last lease that may have been granted expires.
 	leaseEnd time.Duration
 	// runs are the runs on record, with their reservations.
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -157,8 +157,8 @@
 	LeaseEnd time.Duration
 	// Former lists earlier incarnations that are known to have ended.
 	Former []workload.WorkerID
-	// Fresh lists the runs that may have crashed an incarnation in Former, or
-	// the lapsed worker. The list is repeated until WatchArgs.Since covers it.
+	// Fresh lists the runs that may have crashed an incarnation in Former, the
+	// lapsed worker, or one that does not answer while the agent is stopping. The list is repeated until WatchArgs.Since covers it.
 	Fresh []SuspectRun
 	Runs  []RunReport
 	Ends  []workload.End
