--- a/entry/scheduler/earliergrants.go
+++ b/entry/scheduler/earliergrants.go
@@ -82,8 +82,8 @@
 const leaseEndsKept = time.Minute
 
 // leaseEnds returns what the next scheduler needs to know of the leases that may
-// have been granted so far. Those of workers whose agents have not answered for a
-// whole Watch call are listed.
+// have been granted so far. It lists workers whose agents have not answered for a
+// whole Watch call.
 func (t *Term) leaseEnds() leaseEndsRow {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,9 +93,10 @@
 		Epoch: t.epoch, Silent: map[workload.WorkerID]int64{},
 		Others: left(max(now+t.cfg.leaseLength(), t.earlier.end)),
 	}
-	silent := now + t.cfg.leaseLength() - watchWait - watchSlack
+	// The last lease of a worker that is in contact ends after renewed.
+	renewed := now + t.cfg.leaseLength() - watchWait - watchSlack
 	for id, w := range t.workers {
-		if w.leaseEnd > 0 && w.leaseEnd < silent && w.leaseEnd > now-leaseEndsKept {
+		if w.leaseEnd > 0 && w.leaseEnd < renewed && w.leaseEnd > now-leaseEndsKept {
 			row.Silent[id] = left(w.leaseEnd)
 		}
 	}
