--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -23,6 +23,7 @@
 	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/ops/serve"
 	"persimmonrock.example/platform/boot"
+	"persimmonrock.example/structs/scheduling"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -61,6 +62,7 @@
 	log      zerolog.Logger
 	limit    *logs.Limit
 	flush    func()
+	policies scheduling.Policies
 }
 
 func newProgram() (*program, error) {
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -37,13 +37,19 @@
 )
 
 // RunEntry runs an entry with the settings of the machine until SIGTERM or
-// SIGINT, and returns the exit status.
-func RunEntry(ctx context.Context, stderr io.Writer) int {
+// SIGINT, and returns the exit status. The arguments name the file with the
+// scheduling policies, if any.
+func RunEntry(ctx context.Context, args []string, stderr io.Writer) int {
+	policies, status := parsePolicies(args, stderr)
+	if status != exitOK {
+		return status
+	}
 	p, err := newProgram()
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
+	p.policies = policies
 	defer p.flush()
 	if err := p.runEntry(ctx); err != nil {
 		p.log.Error().Err(err).Msg("entry failed")
@@ -64,6 +70,7 @@
 	elector := scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(), Power: p.settings.Cores,
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
+		Policies: p.policies,
 	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Drains: config.Drains, Link: dispatch.NewLink, Policy: p.advisor(), Counters: counters})
 	service := intake.New(rows, config, elector, clock, p.log)
 	server := rpc.NewServer()
--- a/cmd/persimmonrock/settings.go
+++ b/cmd/persimmonrock/settings.go
@@ -16,19 +16,25 @@
 const (
 	kindEntry = "entry"
 	kindAgent = "agent"
+	// kindScheduling is the file with the scheduling policies.
+	kindScheduling = "scheduling"
 )
 
+// describedKinds names the process or part to which settings belong.
+var describedKinds = map[string]string{kindEntry: "an entry", kindAgent: "an agent", kindScheduling: "the scheduling policies"}
+
 var settingsCommands = []spec{{
 	name: "check", summary: "check a settings file as the process would at its start",
 	arguments: []string{"FILE"}, local: true,
 	example: `
 persimmonrock settings check entry.json
 persimmonrock settings check -kind agent agent.json
+persimmonrock settings check -kind scheduling scheduling.json
 
 The exit status is 0 for a good file and 2 for a bad one. Each fault is printed with
 file, line, column, key and what was expected.`,
 	define: func(flags *flag.FlagSet) action {
-		kind := flags.String("kind", "", `"entry" or "agent" (else told by the key "instance")`)
+		kind := flags.String("kind", "", `"entry", "agent" or "scheduling" (else "agent" with the key "instance", or "entry")`)
 		return func(_ context.Context, s *session, args []string) error {
 			return checkSettings(s, *kind, args[0])
 		}
@@ -47,8 +53,10 @@
 	case kindAgent:
 		into := settings.DefaultAgent()
 		err = settings.Load(path, &into, (*settings.Agent).Check)
+	case kindScheduling:
+		_, err = settings.LoadScheduling(path)
 	default:
-		return usageError(`-kind: want "entry" or "agent", got %q`, kind)
+		return usageError(`-kind: want "entry", "agent" or "scheduling", got %q`, kind)
 	}
 	if err != nil {
 		return err
@@ -56,7 +64,7 @@
 	if s.json {
 		return s.printJSON(map[string]string{"file": path, "kind": kind, "state": "good"})
 	}
-	fmt.Fprintf(s.stdout, "%s: good settings of an %s\n", path, kind)
+	fmt.Fprintf(s.stdout, "%s: good settings of %s\n", path, describedKinds[kind])
 	return nil
 }
 
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -15,6 +15,7 @@
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
+	"persimmonrock.example/structs/scheduling"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -31,6 +32,8 @@
 	Grant time.Duration
 	// StatusFor is the time for which a final state can be queried.
 	StatusFor time.Duration
+	// Policies are the scheduling policies in force.
+	Policies scheduling.Policies
 }
 
 // Deps are the scheduler's dependencies.
--- a/sessions/machines/entry.go
+++ b/sessions/machines/entry.go
@@ -62,7 +62,7 @@
 	configStore := &nodeStore{Store: sim.Store.ClientWithIdleTimeout(e.Node, configIdleTimeout), simulation: sim, node: e.Node}
 	config := intake.NewFollower(indirect.Reader(configStore), operatorRows, log, clock)
 	elector := scheduler.NewElector(scheduler.Config{
-		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.starts), Address: e.Node, Power: sim.power(e), Grant: grant, StatusFor: 2 * time.Minute,
+		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.starts), Address: e.Node, Power: sim.power(e), Grant: grant, StatusFor: 2 * time.Minute, Policies: sim.opt.Policies,
 	}, scheduler.Deps{
 		Store: rows, Log: log, Now: sim.now, Config: config.Current, Drains: config.Drains, Link: sim.link(e.Node), Policy: sim.advisor, Counters: &scheduler.Counters{},
 	})
--- a/sessions/machines/simulation.go
+++ b/sessions/machines/simulation.go
@@ -24,6 +24,7 @@
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/rowstore/memstore"
 	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/structs/scheduling"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -45,6 +46,8 @@
 	// RestartDelay is the delay before a worker restarts after a run has
 	// crashed it; 0 means three seconds.
 	RestartDelay time.Duration
+	// Policies are the scheduling policies of the entries.
+	Policies scheduling.Policies
 	// Outcome returns the behaviour of a run.
 	Outcome func(workload.RunID) Outcome
 	// Log receives the programs' logs; nil discards them.
