Lives of a worker under one instance identifier

A worker may start again under the identifier that it had: its reports, ends and clock are then numbered anew, and it announces when it began. Orders name the instance only, so an order to the former life may reach the new one.

Cause: a life was told by the identifier alone. With it kept (stand-in, KeepInstances) reports of the new life were dropped as late ones, its ends up to the old numbers were acknowledged unread, and tasks started after an acknowledged end.

A listing of another life is told by its start time; before the agent reports the former life's end it voids the orders to it at the new one. After a failed call no ends are acknowledged until the life has listed its runs.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -76,6 +76,7 @@
 // recordFailure sets failedAt at the first ErrUnknown or ErrDown since the
 // worker's last answer, and downAt at the first ErrDown. The caller holds mu.
 func (r *Runner) recordFailure(inc *incarnation, err error) {
+	inc.unlisted = inc.unlisted || err != nil
 	if inc.failedAt == 0 && (errors.Is(err, workerctl.ErrUnknown) || errors.Is(err, workerctl.ErrDown)) {
 		inc.failedAt = r.deps.Now()
 		if r.stopping {
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -69,6 +69,15 @@
 		return
 	}
 	r.mu.Lock()
+	reborn := r.isReborn(w.ID)
+	r.mu.Unlock()
+	if reborn {
+		var ok bool
+		if listing, sent, ok = r.stopFormerOrders(ctx, w.ID, listing, sent); !ok {
+			return
+		}
+	}
+	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.candidate == nil || r.candidate.ID != w.ID {
 		return
@@ -182,6 +191,11 @@
 		// List at once: runs may have ended since the failed call.
 		order.Wait = 0
 	}
+	if inc.unlisted {
+		// A new life under the same instance may answer, whose ends are numbered
+		// anew: it must not drop them.
+		order.Seen = 0
+	}
 	callCtx, cancel := context.WithTimeout(ctx, order.Wait+inc.answers.timeout(inc.failures+1))
 	r.mu.Unlock()
 	defer cancel()
@@ -197,6 +211,7 @@
 	}
 	if r.incarnation == inc {
 		r.recordAnswer(inc)
+		inc.unlisted = false
 		r.applyListing(inc, listing, sent)
 	}
 	unstored := len(inc.ends) > 0
@@ -215,9 +230,12 @@
 	failures := inc.failures
 	first := failures == 1
 	var refused *workerctl.RefusedError
+	var reborn *workerctl.RebornError
 	gone := errors.Is(err, workerctl.ErrGone)
 	fenced := errors.As(err, &refused)
 	switch {
+	case errors.As(err, &reborn) && r.incarnation == inc:
+		r.proposeReborn(inc, reborn.Worker)
 	case gone && r.incarnation == inc:
 		r.endIncarnation("the worker answered as another incarnation")
 	case r.incarnation == inc && inc.leaving && inc.downAt > 0:
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -24,6 +24,9 @@
 	// startTimeout bounds the time for which a start without an answer is
 	// repeated. Then the run is stopped, which voids the start.
 	startTimeout = 2500 * time.Millisecond
+	// reasonReplaced is the reason of a refusal once a new life of the worker has
+	// been heard of.
+	reasonReplaced = "the worker has started again"
 )
 
 // Order accepts the scheduler's orders. Watch reports their outcomes.
@@ -129,6 +132,9 @@
 	if inc.worker.Draining || inc.leaving {
 		return "the worker is leaving"
 	}
+	if inc.replaced {
+		return reasonReplaced
+	}
 	if r.stopping {
 		return "the agent is stopping"
 	}
@@ -196,6 +202,8 @@
 	switch {
 	case r.drained:
 		return dispatch.ReasonDrained
+	case inc.replaced:
+		return reasonReplaced
 	case lease == 0 || r.deps.Now()-begun > startTimeout:
 		return "no answer within the grant"
 	}
--- /dev/null
+++ b/agent/runner/reborn.go
@@ -0,0 +1,78 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"persimmonrock.example/infra/workerctl"
+	"persimmonrock.example/structs/workload"
+)
+
+// A worker may start again under the instance identifier that it had. Calls name
+// the instance only, so an order to the former life may be carried out by the
+// new one.
+
+// isReborn reports whether id is a new life of the instance of the present
+// worker, or of the one that the previous process had found. The caller holds
+// mu.
+func (r *Runner) isReborn(id workload.WorkerID) bool {
+	former := r.suggested
+	if r.incarnation != nil {
+		former = r.incarnation.id
+	}
+	return former != "" && former != id && former.Instance() == id.Instance()
+}
+
+// proposeReborn makes the life that has answered in place of inc the candidate.
+// Its capacity is not known before it reports. The caller holds mu.
+func (r *Runner) proposeReborn(inc *incarnation, id workload.WorkerID) {
+	inc.replaced = true
+	if r.candidate != nil && r.candidate.ID == id {
+		return
+	}
+	w := inc.worker
+	w.ID, w.Draining = id, false
+	r.candidate, r.candidateSeq, r.candidateAt = &w, 0, 0
+}
+
+// stopFormerOrders voids the orders to the former life of a worker that is the
+// new life id, and returns a listing without runs, and the time at which it was
+// requested. ok is false if the worker did not answer. listing is the new life's
+// first one.
+//
+// Guards against two runs of a task: the scheduler places the runs of a life that
+// has ended elsewhere, so none of them may run in the new life.
+func (r *Runner) stopFormerOrders(ctx context.Context, id workload.WorkerID, listing workerctl.Listing, sent time.Duration) (_ workerctl.Listing, requested time.Duration, ok bool) {
+	runs := map[workload.RunID]bool{}
+	for _, s := range listing.Running {
+		runs[s.Run] = true
+	}
+	r.mu.Lock()
+	if r.incarnation != nil {
+		r.incarnation.replaced = true
+		for x := range r.incarnation.runs {
+			runs[x] = true
+		}
+	}
+	r.mu.Unlock()
+	for x := range runs {
+		_, err := r.deps.Control.Stop(ctx, id, x, r.token)
+		var refused *workerctl.RefusedError
+		if err != nil && !errors.As(err, &refused) {
+			r.candidateFailed(ctx, id, err)
+			return listing, sent, false
+		}
+	}
+	for len(listing.Running) > 0 {
+		r.pause(ctx, retryPause)
+		sent = r.deps.Now()
+		var err error
+		if listing, err = r.deps.Control.Hold(ctx, id, workerctl.HoldOrder{Token: r.token}); err != nil {
+			r.candidateFailed(ctx, id, err)
+			return listing, sent, false
+		}
+	}
+	r.deps.Log.Info().Str("worker", string(id)).Int("stopped", len(runs)).Msg("worker started again under its instance; orders to its former life are void")
+	return listing, sent, true
+}
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -72,7 +72,9 @@
 	candidateSeq uint64
 	// candidateAt is that report's arrival time; 0 if this process got none.
 	candidateAt time.Duration
-	former      []formerIncarnation
+	// suggested is the worker that the previous process had found, if any.
+	suggested workload.WorkerID
+	former    []formerIncarnation
 	// holdWake wakes holdLoop from a pause.
 	holdWake chan struct{}
 	counters Counters
@@ -114,6 +116,11 @@
 	changed    uint64
 	listed     bool
 	leaving    bool
+	// replaced says that a new life of the worker under the same instance has
+	// been heard of.
+	replaced bool
+	// unlisted says that the worker has not listed its runs since a call failed.
+	unlisted bool
 	clock      clockReading
 	// answeredAt is the time of the worker's last answer.
 	answeredAt time.Duration
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -146,6 +146,9 @@
 	if r.candidate != nil && r.candidate.ID == w.ID && sequence <= r.candidateSeq {
 		return
 	}
+	if r.incarnation != nil && r.isReborn(w.ID) && w.ID.Born() > r.incarnation.id.Born() {
+		r.incarnation.replaced = true
+	}
 	r.candidate = &w
 	r.candidateSeq, r.candidateAt = sequence, r.deps.Now()
 	r.wakeHold()
@@ -158,6 +161,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.suggested = w.ID
 	if r.incarnation == nil && r.candidate == nil {
 		r.candidate, r.candidateSeq, r.candidateAt = &w, 0, 0
 		r.wakeHold()
@@ -168,10 +172,10 @@
 func (r *Runner) Left(id workload.WorkerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.candidate != nil && r.candidate.ID == id {
+	if r.candidate != nil && announcedBy(r.candidate.ID, id) {
 		r.candidate = nil
 	}
-	if r.incarnation == nil || r.incarnation.worker.ID != id {
+	if r.incarnation == nil || !announcedBy(r.incarnation.id, id) {
 		return
 	}
 	r.incarnation.leaving = true
@@ -179,6 +183,12 @@
 	r.deps.Log.Info().Str("worker", string(id)).Int("runs", len(r.incarnation.runs)).Msg("worker announced its shutdown")
 }
 
+// announcedBy reports whether an announcement under the identifier id is of the
+// worker; id may name only its instance.
+func announcedBy(worker, id workload.WorkerID) bool {
+	return worker == id || id.Born() == 0 && worker.Instance() == string(id)
+}
+
 // Unreadable counts a report that could not be decoded. The report names no
 // usable worker, so the state stays as it is.
 func (r *Runner) Unreadable(err error) {
--- a/infra/workerctl/workerctl.go
+++ b/infra/workerctl/workerctl.go
@@ -87,6 +87,14 @@
 	ErrUnknown = errors.New("worker: outcome unknown")
 )
 
+// RebornError means that the worker has started again under the same instance
+// identifier, as Worker. A listing was answered by that life.
+type RebornError struct{ Worker workload.WorkerID }
+
+func (e *RebornError) Error() string { return "worker: started again as " + string(e.Worker) }
+
+func (e *RebornError) Unwrap() error { return ErrGone }
+
 // Reason is a worker's reason to refuse an order.
 type Reason string
 
--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -41,8 +41,12 @@
 	sim.incarnations++
 	incarnation := sim.incarnations
 	sim.mu.Unlock()
+	id := workload.WorkerID(fmt.Sprintf("w-%d", incarnation))
+	if sim.opt.KeepInstances {
+		id = workload.NewWorkerID(a.Node, int64(incarnation))
+	}
 	info := workload.Worker{
-		ID: workload.WorkerID(fmt.Sprintf("w-%d", incarnation)), Service: Service, DataCentre: a.dataCentre, Labels: []string{"a", "r1"}, Capacity: sim.opt.Capacity,
+		ID: id, Service: Service, DataCentre: a.dataCentre, Labels: []string{"a", "r1"}, Capacity: sim.opt.Capacity,
 	}
 	worker := NewWorker(info, sim.Rules, sim.opt.Outcome, sim.opt.Seed+uint64(incarnation))
 	worker.advisor = sim.advisor
--- a/sessions/machines/random_test.go
+++ b/sessions/machines/random_test.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// TestRandomDaysOfRebirths simulates random days on which workers start again
+// under the instance identifier that they had.
+func TestRandomDaysOfRebirths(t *testing.T) {
+	for i := range max(1, *seeds/3) {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			randomDayWith(t, Options{Seed: seed, KeepInstances: true}, 1.0/16, (*day).fault)
+		})
+	}
+}
+
 // TestRandomDaysOfChangesThatBroke repeats days on which rules were broken.
 // Each runs several times, because the seed does not determine the order of
 // simultaneous events.
@@ -79,6 +90,12 @@
 }
 
 func randomDay(t *testing.T, seed uint64, crashing float64, fault func(*day) func()) {
+	randomDayWith(t, Options{Seed: seed}, crashing, fault)
+}
+
+// randomDayWith simulates a random day with the options that opt sets.
+func randomDayWith(t *testing.T, opt Options, crashing float64, fault func(*day) func()) {
+	seed := opt.Seed
 	rng := rand.New(rand.NewPCG(seed, 99))
 	outcome := func(r workload.RunID) Outcome {
 		runRNG := rand.New(rand.NewPCG(seed, uint64(r.Run)<<32|uint64(r.Task.Index)<<16|uint64(len(r.Task.Job))))
@@ -87,7 +104,8 @@
 		o.Crashes = r.Task.Index%3 == 0 && crashesWorkers(seed, r.Task.Job, crashing)
 		return o
 	}
-	opt := Options{Seed: seed, Entries: 2 + rng.IntN(3), Machines: 2 + rng.IntN(4), Outcome: outcome, Capacity: workload.Resources{CPU: 10000, Memory: 40000}}
+	opt.Entries, opt.Machines = 2+rng.IntN(3), 2+rng.IntN(4)
+	opt.Outcome, opt.Capacity = outcome, workload.Resources{CPU: 10000, Memory: 40000}
 	simulate(t, opt, func(t *testing.T, sim *Simulation, c *Client) {
 		d := &day{sim: sim, rng: rng}
 		// The jobs and the faults draw from separate random sources, because
--- /dev/null
+++ b/sessions/machines/reborn_test.go
@@ -0,0 +1,48 @@
+package machines
+
+import (
+	"testing"
+	"time"
+
+	"persimmonrock.example/structs/workload"
+)
+
+// Guards against tasks that run twice, ends that are lost, and workers that are
+// used no more. It comes about when a worker crashes and starts again under the
+// instance identifier that it had: orders to its former life reach the new one,
+// which numbers its ends and reports from 1 again and has an earlier clock.
+func TestWorkerStartsAgainUnderItsInstance(t *testing.T) {
+	cases := map[string]func(a *Agent){
+		"at once":                     func(a *Agent) { a.NewWorker() },
+		"after a second":              func(a *Agent) { a.Worker().Crash(); time.Sleep(second); a.NewWorker() },
+		"while its agent is down":     func(a *Agent) { a.Kill(); a.NewWorker(); time.Sleep(second); a.Start() },
+		"while answers are lost":      func(a *Agent) { a.Worker().SetLost(0.5); time.Sleep(second); a.NewWorker() },
+		"twice":                       func(a *Agent) { a.NewWorker(); time.Sleep(50 * time.Millisecond); a.NewWorker() },
+		"before its agent can report": func(a *Agent) { a.SetReportsLost(true); a.NewWorker(); time.Sleep(second); a.SetReportsLost(false) },
+	}
+	for name, restart := range cases {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, Options{Entries: 2, Machines: 3, KeepInstances: true}, func(t *testing.T, sim *Simulation, c *Client) {
+				submit(t, c, lastingJob(1, 3))
+				var ids []workload.JobID
+				for n := range 40 {
+					if n%8 == 4 {
+						go restart(sim.Agents()[n/8%3])
+					}
+					submit(t, c, job(10+n, 4))
+					ids = append(ids, JobID(10+n))
+					time.Sleep(400 * time.Millisecond)
+				}
+				expectAll(t, c, workload.Completed, ids...)
+				time.Sleep(5 * second)
+				submit(t, c, job(90, 30))
+				time.Sleep(second / 2)
+				for _, a := range sim.Agents() {
+					if len(a.Worker().Running()) == 0 {
+						t.Errorf("nothing runs at the worker of %s", a.Node)
+					}
+				}
+			})
+		})
+	}
+}
--- a/sessions/machines/simulation.go
+++ b/sessions/machines/simulation.go
@@ -46,6 +46,9 @@
 	// RestartDelay is the delay before a worker restarts after a run has
 	// crashed it; 0 means three seconds.
 	RestartDelay time.Duration
+	// KeepInstances makes all lives of a machine's worker share one instance
+	// identifier.
+	KeepInstances bool
 	// Policies are the scheduling policies of the entries.
 	Policies scheduling.Policies
 	// Outcome returns the behaviour of a run.
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -235,7 +235,7 @@
 	if !wait.For(ctx, answerTime) {
 		return workerctl.ErrUnknown
 	}
-	if incarnation != w.info.ID {
+	if incarnation.Instance() != w.info.ID.Instance() {
 		return workerctl.ErrGone
 	}
 	return nil
@@ -426,6 +426,9 @@
 	if !w.alive || w.unresponsive {
 		return workerctl.Listing{}, workerctl.ErrUnknown
 	}
+	if incarnation != w.info.ID {
+		return workerctl.Listing{}, &workerctl.RebornError{Worker: w.info.ID}
+	}
 	return w.listing(), nil
 }
 
