--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -121,7 +121,7 @@
 	replaced bool
 	// unlisted says that the worker has not listed its runs since a call failed.
 	unlisted bool
-	clock      clockReading
+	clock    clockReading
 	// answeredAt is the time of the worker's last answer.
 	answeredAt time.Duration
 	// failedAt is the time of the first call since answeredAt without an
--- a/structs/workload/life.go
+++ b/structs/workload/life.go
@@ -5,8 +5,13 @@
 	"strings"
 )
 
-// lifeSeparator separates the instance and the start time in a WorkerID.
-const lifeSeparator = "@"
+const (
+	// lifeSeparator separates the instance and the start time in a WorkerID.
+	lifeSeparator = "@"
+	// bornBase is the base of the start time's digits. Each placement on record
+	// holds a WorkerID, so that a short one saves bytes in the store.
+	bornBase = 36
+)
 
 // NewWorkerID returns the identifier of the life of a worker that began at
 // born, in milliseconds since 1970; 0 means that the worker does not tell, and
@@ -15,7 +20,7 @@
 	if born == 0 {
 		return WorkerID(instance)
 	}
-	return WorkerID(instance + lifeSeparator + strconv.FormatInt(born, 10))
+	return WorkerID(instance + lifeSeparator + strconv.FormatInt(born, bornBase))
 }
 
 // Instance returns the identifier under which the worker is called. Several
@@ -36,7 +41,7 @@
 	if n < 0 {
 		return string(id), 0
 	}
-	born, err := strconv.ParseInt(string(id[n+1:]), 10, 64)
+	born, err := strconv.ParseInt(string(id[n+1:]), bornBase, 64)
 	if err != nil || born <= 0 {
 		return string(id), 0
 	}
