--- a/structs/workload/life.go
+++ b/structs/workload/life.go
@@ -17,7 +17,7 @@
 // born, in milliseconds since 1970; 0 means that the worker does not tell, and
 // that each of its lives has an instance identifier of its own.
 func NewWorkerID(instance string, born int64) WorkerID {
-	if born == 0 {
+	if born == 0 && !strings.Contains(instance, lifeSeparator) {
 		return WorkerID(instance)
 	}
 	return WorkerID(instance + lifeSeparator + strconv.FormatInt(born, bornBase))
@@ -42,7 +42,7 @@
 		return string(id), 0
 	}
 	born, err := strconv.ParseInt(string(id[n+1:]), bornBase, 64)
-	if err != nil || born <= 0 {
+	if err != nil || born < 0 {
 		return string(id), 0
 	}
 	return string(id[:n]), born
