--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -21,6 +21,8 @@
 	// of the worker (see package pressure), or if a trial of that pair of images
 	// runs on another worker.
 	Presses bool
+	// Trial is set if Presses is set only for a trial on another worker.
+	Trial bool
 	// Serving is the number of the worker's tasks with a tail target.
 	Serving int
 	// Mix is, for a serving step, the sum of pressure.Model.Difference between
@@ -39,6 +41,10 @@
 	OfStep int
 	// Barred excludes the worker, whatever its free capacity.
 	Barred bool
+	// BarredBy is the cause of the bar, if Barred is set.
+	BarredBy Cause
+	// Held is the capacity held for other tasks; Free does not include it.
+	Held workload.Resources
 	// LastingOnly excludes the worker for all but lasting tasks. Other tasks have
 	// a bounded number of attempts. Lasting tasks can always be retried, and must
 	// not wait while any worker has free capacity.
--- a/entry/scheduler/advice.go
+++ b/entry/scheduler/advice.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/structs/workload"
 )
@@ -68,7 +69,7 @@
 			continue
 		}
 		if _, ok := s.advice.ticket(w.id, now); !ok {
-			v.candidates[i].Barred = true
+			v.bar(i, placement.NotPermitted)
 			barred = append(barred, i)
 			continue
 		}
--- a/entry/scheduler/bars.go
+++ b/entry/scheduler/bars.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -38,10 +39,23 @@
 		return
 	}
 	for _, i := range v.barred[first:] {
-		v.candidates[i].Barred = true
+		v.bar(i, pressCause(&v.candidates[i]))
 	}
 }
 
+// pressCause is the cause for which barPressed bars a candidate.
+func pressCause(c *placement.Candidate) placement.Cause {
+	if c.Trial {
+		return placement.OnTrial
+	}
+	return placement.Pressing
+}
+
+// bar excludes candidate i for a cause.
+func (v *view) bar(i int, cause placement.Cause) {
+	v.candidates[i].Barred, v.candidates[i].BarredBy = true, cause
+}
+
 func (v *view) liftBars() {
 	for _, i := range v.barred {
 		v.candidates[i].Barred = false
@@ -63,7 +77,8 @@
 	for i, w := range v.workers {
 		c := &v.candidates[i]
 		c.Pressed, c.Presses = table.pressedBy(w, &v.pressure[i], s, column)
-		c.Presses = c.Presses || tried && t.learner.trials.onTrialElsewhere(w, s.Image, table, v.now)
+		c.Trial = !c.Presses && tried && t.learner.trials.onTrialElsewhere(w, s.Image, table, v.now)
+		c.Presses = c.Presses || c.Trial
 	}
 }
 
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/ops/histogram"
 )
 
@@ -31,11 +32,34 @@
 	// Commit the duration of a transaction attempt that succeeded, Plan the time
 	// to make a plan and encode the changed jobs.
 	FirstStart, Commit, Plan histogram.Latency
+	// PassedOver is the waiting time of tasks by what kept them waiting, counted
+	// while the policy Diagnosis is on.
+	PassedOver PassedOver
 	// Agents is the number of agents that the present term knows, AgentsHeard the
 	// number of agents that answer; both are 0 between terms.
 	Agents, AgentsHeard atomic.Int64
 }
 
+// PassedOver sums the waiting time of tasks whose step was planned, in
+// milliseconds.
+type PassedOver struct {
+	// Paused tasks waited after a failure, Moving ones for the worker to which
+	// they were moved, Suspects for a quarantine. Open is the time of tasks which
+	// a worker could have taken when the workers were classified.
+	Paused, Moving, Suspects, Open atomic.Int64
+	// ByCause is the time of the other tasks, by the cause that excluded most of
+	// the workers that otherwise had room.
+	ByCause [placement.Causes]atomic.Int64
+}
+
+func (p *PassedOver) figures() map[string]int64 {
+	all := map[string]int64{"paused": p.Paused.Load(), "moving": p.Moving.Load(), "awaits_quarantine": p.Suspects.Load(), "open": p.Open.Load()}
+	for c := range p.ByCause {
+		all[placement.Cause(c).String()] = p.ByCause[c].Load()
+	}
+	return all
+}
+
 // DrainedDataCentre is a drained data centre and the work left there.
 type DrainedDataCentre struct {
 	DataCentre string `json:"data_centre"`
@@ -59,7 +83,8 @@
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
-		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
+		"passed_over_ms": c.PassedOver.figures(),
+		"blamed":         c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -37,6 +37,7 @@
 	w := v.workers[n]
 	w.hold(taskRef{id: id, job: j, step: s, task: k}, now)
 	v.candidates[n].Free = v.candidates[n].Free.Sub(s.spec.Reserved())
+	v.candidates[n].Held = v.candidates[n].Held.Add(s.spec.Reserved())
 	if w.id != before {
 		t.deps.Log.Info().Stringer("run", workload.RunID{Task: id, Run: k.run}).Str("room", string(w.id)).Msg("capacity held for the task's next placement")
 	}
@@ -55,6 +56,7 @@
 		if h, ok := v.workers[n].held[id]; ok {
 			delete(v.workers[n].held, id)
 			v.candidates[n].Free = v.candidates[n].Free.Add(h.need)
+			v.candidates[n].Held = v.candidates[n].Held.Sub(h.need)
 		}
 	}
 	k.pin = ""
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -91,6 +91,8 @@
 	// refusalsLogged is when it was last logged that no worker can hold capacity for
 	// a task of the step.
 	refusalsLogged time.Time
+	// diagnosis says why waiting tasks are passed over.
+	diagnosis diagnosis
 }
 
 func (s *step) complete() bool { return s.done == len(s.tasks) }
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -112,6 +112,7 @@
 		t.setMix(v, s.spec)
 	}
 	now := time.Now()
+	defer t.diagnose(v, o, j, si, now)
 	t.placePinned(v, j, o, si, now)
 	// full says that the step fits nowhere; its further tasks can only hold capacity.
 	full := false
@@ -217,6 +218,7 @@
 	for range s.tasks {
 		n := placement.Choose(placement.Request{Step: s.spec, Avoid: -1, Rack: v.rackOfChosen(chosen)}, v.candidates)
 		if n < 0 {
+			t.diagnose(v, o, j, si, time.Now())
 			v.candidates = saved
 			return
 		}
--- a/entry/scheduler/quarantine.go
+++ b/entry/scheduler/quarantine.go
@@ -113,7 +113,7 @@
 		return true
 	}
 	c.Barred = false
-	defer func() { c.Barred = true }()
+	defer func() { c.Barred, c.BarredBy = true, placement.Quarantined }()
 	if s.spec.Gang {
 		t.quarantineGang(v, j, o, si, n)
 	} else {
@@ -174,7 +174,7 @@
 	}
 	w := v.workers[best]
 	w.quarantine = &quarantine{job: j.spec.ID, since: now}
-	v.candidates[best].Barred = true
+	v.bar(best, placement.Quarantined)
 	t.deps.Log.Info().Str("job", string(j.spec.ID)).Str("worker", string(w.id)).Int("runs", len(w.runs)).Msg("quarantine")
 	return best, true
 }
@@ -263,7 +263,7 @@
 	var barred []int
 	for i, w := range v.workers {
 		if !v.candidates[i].Barred && t.runsUnprovenSuspect(w, j, now) {
-			v.candidates[i].Barred = true
+			v.bar(i, placement.Quarantined)
 			barred = append(barred, i)
 		}
 	}
--- a/entry/scheduler/trials.go
+++ b/entry/scheduler/trials.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -111,7 +112,7 @@
 	table := l.weights()
 	for i, w := range v.workers {
 		if !v.candidates[i].Barred && l.trials.onTrialElsewhere(w, s.Image, table, v.now) {
-			v.candidates[i].Barred = true
+			v.bar(i, placement.OnTrial)
 			v.barred = append(v.barred, i)
 		}
 	}
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -147,11 +147,18 @@
 
 // candidate returns the worker as the placement sees it.
 func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
-	return placement.Candidate{
-		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{})), FillLoad: w.fillLoad, Serving: w.serving,
+	held := w.heldForOthers(workload.TaskID{})
+	c := placement.Candidate{
+		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(held), Held: held, FillLoad: w.fillLoad, Serving: w.serving,
 		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now), Slow: now < w.slowUntil,
-		Barred: !w.accepts(service) || w.quarantine != nil,
 	}
+	switch {
+	case !w.accepts(service):
+		c.Barred, c.BarredBy = true, placement.NotReady
+	case w.quarantine != nil:
+		c.Barred, c.BarredBy = true, placement.Quarantined
+	}
+	return c
 }
 
 // accepts reports whether tasks of the service may begin on the worker.
--- a/structs/scheduling/scheduling.go
+++ b/structs/scheduling/scheduling.go
@@ -17,6 +17,8 @@
 	Layout Layout `json:"layout"`
 	// Admission refuses jobs that can't end while they are still of use.
 	Admission Admission `json:"admission"`
+	// Diagnosis logs and counts why waiting tasks are passed over.
+	Diagnosis Diagnosis `json:"diagnosis"`
 }
 
 // Forecast configures the prediction of the ends of jobs.
@@ -48,3 +50,9 @@
 type Admission struct {
 	Enabled bool `json:"enabled"`
 }
+
+// Diagnosis configures the log lines about waiting tasks and about the layout
+// of serving images.
+type Diagnosis struct {
+	Enabled bool `json:"enabled"`
+}
