A forecast of the ends of accepted jobs, behind the policy `forecast`

Nothing in the scheduler said when a job ends: the order ranks by estimates, and who waits for how long was seen only afterwards. Placing, admitting and moving need one answer.

Ruled out: a simulator of tasks (as costly as the placement), and one number for the room (wrong for jobs that start later).

--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -111,6 +111,10 @@
 		x.puts = append(x.puts, put)
 		size += len(put.Value)
 	}
+	if put, due := t.runtimesPut(); due {
+		x.puts = append(x.puts, put)
+		size += len(put.Value)
+	}
 	for _, j := range t.dirty {
 		j.unsaved = false
 		if j.state.Final() && j.final == 0 {
@@ -208,6 +212,7 @@
 			t.deps.Log.Info().Str("job", string(s.job.spec.ID)).Str("state", string(s.state)).
 				Int64("age_ms", t.storeNow()-s.job.spec.Accepted).Msg("job ended")
 			t.deps.Counters.JobsEnded.Add(1)
+			t.checkForecast(s.job, s.state)
 		}
 		if !s.job.stored.Final() {
 			s.job.stored = s.state
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -31,6 +31,10 @@
 	// Commit the duration of a transaction attempt that succeeded, Plan the time
 	// to make a plan and encode the changed jobs.
 	FirstStart, Commit, Plan histogram.Latency
+	// Forecast is the time to compute a forecast of ends. ForecastErrors are the
+	// errors of the forecasts for jobs that have ended.
+	Forecast       histogram.Latency
+	ForecastErrors forecastErrors
 	// Agents is the number of agents that the present term knows, AgentsHeard the
 	// number of agents that answer; both are 0 between terms.
 	Agents, AgentsHeard atomic.Int64
@@ -62,6 +66,7 @@
 		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
+		"forecast_ms": c.Forecast.Summary(), "forecast_errors": c.ForecastErrors.figures(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
 	}
 }
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonrock.example/decide/forecast"
 	"persimmonrock.example/decide/order"
 	"persimmonrock.example/structs/workload"
 )
@@ -31,6 +32,9 @@
 	// ordered says that the placement is stored and was queued for the agent.
 	ordered  bool
 	placedAt time.Time
+	// placedStore is placedAt by the store's clock, in ms, while ends are forecast;
+	// otherwise 0.
+	placedStore int64
 	// pin is the worker that holds capacity for the next run. From pinUntil on,
 	// another worker may hold it instead. moving is set if pin is the destination
 	// of a move: until pinUntil, the task is placed on no other worker.
@@ -86,6 +90,8 @@
 	// known duration; timed counts these tasks.
 	took  time.Duration
 	timed int
+	// times are the same durations as the forecast of ends learns from them.
+	times forecast.StepTimes
 	// advice is set for steps of queues that need tickets from the policy service.
 	advice *advice
 	// refusalsLogged is when it was last logged that no worker can hold capacity for
@@ -274,6 +280,7 @@
 			continue
 		}
 		tr := taskRow{Index: i, Run: t.run, Fails: t.failures, Crashes: t.crashes, Certain: t.certain, Checkpoint: t.checkpoint}
+		t.rowTimes(&tr)
 		if t.state == taskPlaced {
 			tr.Worker = reference(workerRef{Agent: t.agent, Worker: t.worker}, refs, r)
 		}
@@ -322,6 +329,7 @@
 		t := &s.tasks[tr.Index]
 		t.run, t.storedRun, t.failures, t.checkpoint = tr.Run, tr.Run, tr.Fails, tr.Checkpoint
 		t.crashes, t.certain = tr.Crashes, tr.Certain
+		t.restoreTimes(tr)
 		if s.spec.Lasting {
 			t.couldStart = now
 		}
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -45,7 +45,12 @@
 	defer t.mu.Unlock()
 	t.addJobRows(jobs)
 	for _, row := range learnt {
-		t.restoreLearnt(row)
+		switch row.Key.Key {
+		case learntKey.Key:
+			t.restoreLearnt(row)
+		case runtimesKey.Key:
+			t.restoreRuntimes(row)
+		}
 	}
 	now := time.Now()
 	before := map[workload.JobID]bool{}
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -23,6 +23,7 @@
 		return
 	}
 	t.endQuarantines(time.Now())
+	t.firstForecast()
 	v := t.newView()
 	t.learner.trials.scan(v.workers, t.learner.weights(), v.now)
 	for _, j := range t.active {
@@ -255,6 +256,9 @@
 	k.run = run
 	k.agent, k.worker = w.agent, w.id
 	k.placedAt = time.Now()
+	if t.forecaster != nil {
+		k.placedStore = t.storeNow()
+	}
 	k.ordered, k.stopping = false, false
 	k.presentAt = 0
 	k.ticket = ""
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -145,6 +145,10 @@
 	// the task is not placed.
 	Worker     int    `json:"w,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
+	// Placed is when the last run was placed, by the store's clock, Worked the working
+	// time of earlier runs, both in ms. They are stored while ends are forecast.
+	Placed int64 `json:"p,omitempty"`
+	Worked int64 `json:"m,omitempty"`
 }
 
 func encode(v any) []byte {
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -91,6 +91,8 @@
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
 	learner learner
+	// forecaster predicts the ends of jobs; nil if the policy is off.
+	forecaster *forecaster
 	// savedVersion is the model version last saved, at savedAt.
 	savedVersion uint64
 	savedAt      time.Duration
@@ -131,12 +133,16 @@
 
 func newTerm(ctx context.Context, cfg Config, deps Deps, earlier earlierGrants, lease leaseRow, version uint64, sent time.Duration, at rowstore.Stamp) *Term {
 	ctx, cancel := context.WithCancel(ctx)
-	return &Term{
+	t := &Term{
 		cfg: cfg, deps: deps, epoch: version, beganAt: deps.Now(), earlier: earlier, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		adviceRequests: make(chan adviceRequest, adviceQueue), jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{},
 		earlyCancels: map[workload.JobID]bool{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
 		storeClock: storeClock{store: at.Now, local: deps.Now()},
 	}
+	if cfg.Policies.Forecast.Enabled {
+		t.forecaster = newForecaster()
+	}
+	return t
 }
 
 // run serves the term until the lease is lost or ctx ends.
@@ -154,6 +160,9 @@
 	group.Go(t.tick)
 	group.Go(t.adviceLoop)
 	group.Go(t.retireLoop)
+	if t.forecaster != nil {
+		group.Go(t.forecastLoop)
+	}
 	t.commitLoop()
 	t.cancel()
 	group.Wait()
@@ -247,6 +256,7 @@
 	t.active = append(t.active, j)
 	t.resort = true
 	j.addDue(time.Now())
+	t.forecastArrival(j)
 	t.deps.Counters.Jobs.Add(1)
 	if t.loaded {
 		t.logKnown(j)
@@ -351,6 +361,7 @@
 }
 
 func (t *Term) recordDuration(j *job, s *step, k *task, e workload.End) {
+	t.learnDuration(j, s, k, e)
 	if e.Worked <= 0 {
 		return
 	}
