Forecast: running tasks' ends from a survival table; waiting lasting tasks hold no room

Of jobs with reserved capacity on a full deployment a tenth was forecast to take 50 times too long: lasting tasks that fit nowhere took all of the room in the model. Half done, filling jobs took 1.6 to 2 times the forecast: the tasks still running then are the long ones. What is left of a task that has run for a while now follows from the distribution of durations, whose spread is learnt too.

--- a/decide/forecast/errors.go
+++ b/decide/forecast/errors.go
@@ -38,6 +38,8 @@
 	usualError = 0.4
 	// maxBias bounds the correction of a forecast.
 	maxBias = 0.7
+	// maxError bounds the influence of one error.
+	maxError = 1.5
 	// leastSpan is the shortest span for which an error is meaningful.
 	leastSpan = 50 * time.Millisecond
 )
@@ -70,7 +72,8 @@
 
 // Learn records the error of a forecast of a job that has ended.
 func (e *Errors) Learn(k Kind, p Prediction, ended time.Duration) {
-	e.Kinds[k].Observe(math.Log(ratioOf(ended-p.At, p.End.raw-p.At)))
+	x := math.Log(ratioOf(ended-p.At, p.End.raw-p.At))
+	e.Kinds[k].Observe(max(-maxError, min(maxError, x)))
 }
 
 func ratioOf(actual, predicted time.Duration) float64 {
--- a/decide/forecast/forecast.go
+++ b/decide/forecast/forecast.go
@@ -21,10 +21,12 @@
 	axis     *axis
 	profiles []*profile
 	arrivals arrivals
-	longest  longestTable
+	spread   *survival
 	// finish and late are when each step of the present job ends, in seconds, and
 	// when it has ended with a probability of lateQuantile.
 	finish, late []float64
+	// counts is the memory of runningEnd.
+	counts []elapsedCount
 }
 
 // Compute forecasts the ends of all jobs. Jobs take room in the order of the
@@ -49,7 +51,8 @@
 }
 
 func newModel(s *Snapshot) *model {
-	m := &model{s: s, axis: newAxis(horizon(s), s.Window), arrivals: newArrivals(s), longest: longestTable{spread: s.Spread}}
+	spread := newSurvival(s.Spread)
+	m := &model{s: s, axis: newAxis(horizon(s, spread.mean), s.Window), arrivals: newArrivals(s), spread: spread}
 	for i := range s.Rooms {
 		m.profiles = append(m.profiles, newProfile(m.axis, &s.Rooms[i]))
 	}
@@ -57,10 +60,10 @@
 }
 
 // horizon is the time to foresee: enough for all work and the longest job.
-func horizon(s *Snapshot) time.Duration {
+// Tasks take mean times as long as usual ones.
+func horizon(s *Snapshot, mean float64) time.Duration {
 	work := make([]float64, len(s.Rooms))
 	longest := 0.0
-	mean := s.Spread.mean()
 	for i := range s.Jobs {
 		chain := 0.0
 		for k := range s.Jobs[i].Steps {
@@ -90,17 +93,17 @@
 		}
 		sum := 0.0
 		for _, elapsed := range s.Running {
-			sum += left(elapsed, s.Typical).Seconds()
+			sum += m.spread.meanLeft(multiple(elapsed, s.Typical))
 		}
 		n := float64(len(s.Running))
-		m.profiles[s.Room].occupy(s.Image, n*s.Cores, sum/n)
+		m.profiles[s.Room].occupy(s.Image, n*s.Cores, sum/n*s.Typical.Seconds())
 	}
 }
 
 // serveJob takes room for a job's waiting tasks, and returns the job's end.
 func (m *model) serveJob(j *Job) (End, bool) {
 	if j.Endless {
-		m.reserveEndless(j)
+		// Lasting tasks that wait have fitted nowhere: they hold no room.
 		return End{}, false
 	}
 	m.finish, m.late = m.finish[:0], m.late[:0]
@@ -126,30 +129,20 @@
 	return m.end(j, end, late, max(first, 0)), true
 }
 
-// reserveEndless takes the room of waiting tasks that will not end.
-func (m *model) reserveEndless(j *Job) {
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.Waiting > 0 {
-			m.profiles[s.Room].occupy(s.Image, float64(s.Waiting)*s.Cores, m.axis.from[buckets])
-		}
-	}
-}
-
 // serveStep returns when the step's waiting tasks get room, when the step ends,
 // and when it has ended with a probability of lateQuantile.
 func (m *model) serveStep(j *Job, s *Step, from float64) (start, end, late float64) {
 	typical := s.Typical.Seconds()
-	half, nine := m.longest.at(len(s.Running) + s.Waiting)
+	half, nine := m.spread.longest(s.Waiting)
 	start = from
 	if n := len(s.Running); n > 0 {
-		end, late = m.runningEnd(s, half, nine)
+		end, late = m.runningEnd(s)
 	}
 	if s.Waiting == 0 {
 		return start, end, max(end, late)
 	}
 	n := float64(s.Waiting)
-	work := (n*typical*m.s.Spread.mean() - s.Spared.Seconds()) * s.Cores
+	work := (n*typical*m.spread.mean - s.Spared.Seconds()) * s.Cores
 	work = max(work, leastLeft*typical*s.Cores)
 	var done float64
 	start, done = m.profiles[s.Room].serve(demand{
@@ -163,18 +156,35 @@
 	return start, end, max(late, done+(nine-half)*each, lastStart+nine*each)
 }
 
-// runningEnd returns when the running tasks of a step have ended.
-func (m *model) runningEnd(s *Step, half, nine float64) (end, late float64) {
+// runningEnd returns when the running tasks of a step have ended. Tasks that have
+// run for about the same time are taken together.
+func (m *model) runningEnd(s *Step) (end, late float64) {
 	typical := s.Typical.Seconds()
+	counts := m.counts[:0]
 	for _, elapsed := range s.Running {
-		rest := left(elapsed, s.Typical).Seconds()
-		end = max(end, rest)
-		if float64(elapsed) <= slowAfter*float64(s.Typical) {
-			end = max(end, half*typical-elapsed.Seconds())
-			late = max(late, nine*typical-elapsed.Seconds())
+		at := m.spread.index(multiple(elapsed, s.Typical))
+		k := 0
+		for k < len(counts) && counts[k].at != at {
+			k++
+		}
+		if k == len(counts) {
+			counts = append(counts, elapsedCount{at: at, elapsed: elapsed})
 		}
+		counts[k].tasks++
+	}
+	m.counts = counts
+	for _, c := range counts {
+		half, nine := m.spread.leftOf(multiple(c.elapsed, s.Typical), c.tasks)
+		end, late = max(end, half*typical), max(late, nine*typical)
 	}
-	return end, max(end, late)
+	return end, late
+}
+
+// elapsedCount counts the running tasks of a step at one point of the grid of a
+// survival table.
+type elapsedCount struct {
+	at, tasks int
+	elapsed   time.Duration
 }
 
 // end converts seconds from now into times, corrected by the errors of earlier
--- a/decide/forecast/forecast_test.go
+++ b/decide/forecast/forecast_test.go
@@ -75,7 +75,7 @@
 					break
 				}
 				for waiting[i][k] > 0 && free >= s.Cores {
-					d := s.Typical.Seconds() * math.Exp(stepNoise*rng.NormFloat64())
+					d := s.Typical.Seconds() * math.Exp(usualNoise*rng.NormFloat64())
 					if rng.Float64() < usualSlowShare {
 						d *= slowFactor
 					}
@@ -296,6 +296,7 @@
 // The longest of a step's tasks decides its end: quantiles against draws.
 func TestLongestOfATaskSet(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 3))
+	v := newSurvival(Spread{})
 	for _, n := range []int{1, 10, 40} {
 		draws := make([]float64, 4000)
 		for i := range draws {
@@ -309,7 +310,9 @@
 		}
 		slices.SortFunc(draws, cmp.Compare[float64])
 		for _, q := range []float64{0.5, 0.9} {
-			if got, want := (Spread{}).longest(n, q), draws[int(q*float64(len(draws)))]; math.Abs(math.Log(got/want)) > 0.12 {
+			half, late := v.longest(n)
+			got := map[float64]float64{0.5: half, 0.9: late}[q]
+			if want := draws[int(q*float64(len(draws)))]; math.Abs(math.Log(got/want)) > 0.12 {
 				t.Errorf("%d tasks, quantile %.1f: %.2f, drawn %.2f", n, q, got, want)
 			}
 		}
--- a/decide/forecast/learn.go
+++ b/decide/forecast/learn.go
@@ -9,6 +9,8 @@
 	// estimateNoise is the standard deviation of the logarithm of a step's usual
 	// duration relative to its estimate, before any was learnt.
 	estimateNoise = 0.5
+	// stepNoise is likewise that of the working times within a step.
+	stepNoise = 0.2
 	// paceNoise is likewise that of the time a run takes relative to its working
 	// time at full speed.
 	paceNoise = 0.25
@@ -90,6 +92,8 @@
 	// Logs sums the logarithms of working time over estimate, Tasks counts them.
 	Logs  float64
 	Tasks int
+	// Walls sums likewise the logarithms of the time from start to end.
+	Walls float64
 }
 
 // EndedTask learns from a task that ended: worked is its working time at full
@@ -104,12 +108,28 @@
 	if s.Tasks > 0 && x-s.Logs/float64(s.Tasks) > slowLog {
 		r.Spread.Slow++
 	} else {
-		s.Logs += x
-		s.Tasks++
+		r.usualTask(s, x, image, runWorked, ran)
 	}
+}
+
+// usualTask learns from a task that was not slow; x is the logarithm of its working
+// time over its estimate.
+func (r *Runtimes) usualTask(s *StepTimes, x float64, image string, runWorked, ran time.Duration) {
+	wall := x
 	if runWorked > 0 && ran > 0 {
-		observe(&r.Paces, image, math.Log(max(1, ran.Seconds()/runWorked.Seconds())))
+		pace := math.Log(max(1, ran.Seconds()/runWorked.Seconds()))
+		observe(&r.Paces, image, pace)
+		wall += pace
+	}
+	if s.Tasks > 0 {
+		n := float64(s.Tasks)
+		d := wall - s.Walls/n
+		r.Spread.Squares = r.Spread.Squares*spreadForget + d*d*n/(n+1)
+		r.Spread.Deviations = r.Spread.Deviations*spreadForget + 1
 	}
+	s.Logs += x
+	s.Walls += wall
+	s.Tasks++
 }
 
 // spreadForget is forget for the share of slow tasks: the last 1,000 count.
--- a/decide/forecast/spread.go
+++ b/decide/forecast/spread.go
@@ -2,34 +2,42 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
 const (
-	// stepNoise is the standard deviation of the logarithm of the durations of
-	// usual tasks of one step.
-	stepNoise = 0.2
+	// usualNoise is the standard deviation of the logarithm of the time from start
+	// to end of the usual tasks of one step; noiseWeight is the number of tasks that
+	// this assumption counts for.
+	usualNoise  = 0.25
+	noiseWeight = 100.0
+	leastNoise  = 0.05
+	maxNoise    = 0.8
 	// slowFactor is the duration of a slow task, as a multiple of a usual one's.
 	slowFactor = 7.0
-	// slowAfter is the multiple of the usual duration after which a running task
-	// is taken for a slow one.
-	slowAfter = 1.7
-	// leastLeft is the time left, in usual durations, of a task that has run
-	// longer than expected.
-	leastLeft = 0.15
+	// leastLeft is the time left, in usual durations, of any running task.
+	leastLeft = 0.05
 	// usualSlowShare is the share of slow tasks before any has ended;
 	// slowShareWeight is the number of tasks that this assumption counts for.
 	usualSlowShare  = 0.03
 	slowShareWeight = 200.0
 	// maxSlowShare bounds the learnt share.
 	maxSlowShare = 0.3
+	// lateQuantile is the quantile of End.NineTenths.
+	lateQuantile = 0.9
 )
 
 // Spread describes how the durations of one step's tasks differ. The zero value
 // stands for what is usual.
 type Spread struct {
 	// Slow and Tasks count the ended tasks that were slow, and all of them.
-	Slow, Tasks float64
+	Slow  float64 `json:"s"`
+	Tasks float64 `json:"n"`
+	// Squares sums the square deviations of the logarithms of the usual tasks'
+	// durations from the mean of their step, Deviations counts them.
+	Squares    float64 `json:"q"`
+	Deviations float64 `json:"d"`
 }
 
 // slowShare is the share of tasks that take slowFactor times as long as usual.
@@ -37,57 +45,108 @@
 	return min(maxSlowShare, (s.Slow+usualSlowShare*slowShareWeight)/(s.Tasks+slowShareWeight))
 }
 
-// mean is the mean duration, in usual durations.
-func (s Spread) mean() float64 {
-	return (1 + s.slowShare()*(slowFactor-1)) * math.Exp(stepNoise*stepNoise/2)
+// noise is the standard deviation of the logarithm of usual durations.
+func (s Spread) noise() float64 {
+	variance := (s.Squares + usualNoise*usualNoise*noiseWeight) / (s.Deviations + noiseWeight)
+	return max(leastNoise, min(maxNoise, math.Sqrt(variance)))
 }
 
-// longest is the q-quantile of the longest of n durations, in usual durations.
-func (s Spread) longest(n int, q float64) float64 {
-	if n <= 0 {
-		return 0
+const (
+	// The grid of a survival table, in multiples of the usual duration.
+	gridPoints = 160
+	gridFirst  = 0.05
+	gridLast   = 60.0
+	// maxCachedTasks bounds the sizes of steps whose longest task is cached.
+	maxCachedTasks = 65
+)
+
+// survival is the distribution of durations, in usual ones, as a table.
+type survival struct {
+	points [gridPoints]float64
+	// beyond is the probability of a longer duration than each point, rest the mean
+	// of what is left at that point.
+	beyond, rest [gridPoints]float64
+	logStep      float64
+	mean         float64
+	half, late   [maxCachedTasks]float64
+}
+
+func newSurvival(s Spread) *survival {
+	v := &survival{logStep: math.Log(gridLast/gridFirst) / (gridPoints - 1)}
+	slow, noise := s.slowShare(), s.noise()
+	for i := range v.points {
+		x := gridFirst * math.Exp(v.logStep*float64(i))
+		v.points[i] = x
+		v.beyond[i] = (1-slow)*longer(math.Log(x)/noise) + slow*longer(math.Log(x/slowFactor)/noise)
 	}
-	slow := s.slowShare()
-	u := math.Pow(q, 1/float64(n))
-	if usual := 1 - slow; u < usual {
-		return math.Exp(stepNoise * normalQuantile(u/usual))
+	sum := 0.0
+	for i := gridPoints - 2; i >= 0; i-- {
+		sum += (v.points[i+1] - v.points[i]) * (v.beyond[i] + v.beyond[i+1]) / 2
+		if v.beyond[i] > 1e-9 {
+			v.rest[i] = sum / v.beyond[i]
+		}
 	}
-	return max(slowFactor*math.Exp(stepNoise*normalQuantile((u-1+slow)/slow)), 1)
+	v.mean = sum + gridFirst
+	return v
 }
 
-// normalQuantile is the p-quantile of the standard normal distribution, within
-// four standard deviations.
-func normalQuantile(p float64) float64 {
-	return max(-4, min(4, math.Sqrt2*math.Erfinv(2*p-1)))
-}
+// longer is the probability that a standard normal variable exceeds z.
+func longer(z float64) float64 { return math.Erfc(z/math.Sqrt2) / 2 }
 
-// left is the time until a task ends that has run for elapsed.
-func left(elapsed, typical time.Duration) time.Duration {
-	whole := typical
-	if float64(elapsed) > slowAfter*float64(typical) {
-		whole = time.Duration(slowFactor * float64(typical))
+// index is the point of the grid at or before x.
+func (v *survival) index(x float64) int {
+	if x <= gridFirst {
+		return 0
 	}
-	return max(whole-elapsed, time.Duration(leastLeft*float64(typical)))
+	return min(gridPoints-1, int(math.Log(x/gridFirst)/v.logStep))
 }
 
-// longestTable caches longest for small n, at two quantiles.
-type longestTable struct {
-	spread Spread
-	half   [maxCachedTasks]float64
-	late   [maxCachedTasks]float64
+// exceededBy is the duration that is exceeded with probability p.
+func (v *survival) exceededBy(p float64) float64 {
+	i := sort.Search(gridPoints, func(i int) bool { return v.beyond[i] <= p })
+	switch {
+	case i == 0:
+		return v.points[0]
+	case i == gridPoints:
+		return gridLast
+	}
+	part := (v.beyond[i-1] - p) / (v.beyond[i-1] - v.beyond[i])
+	return v.points[i-1] + part*(v.points[i]-v.points[i-1])
 }
 
-const (
-	maxCachedTasks = 65
-	lateQuantile   = 0.9
-)
-
-func (t *longestTable) at(n int) (half, late float64) {
+// longest returns the quantiles of the longest of n durations.
+func (v *survival) longest(n int) (half, late float64) {
+	if n <= 0 {
+		return 0, 0
+	}
 	if n >= maxCachedTasks {
-		return t.spread.longest(n, 0.5), t.spread.longest(n, lateQuantile)
+		return v.exceededBy(1 - math.Pow(0.5, 1/float64(n))), v.exceededBy(1 - math.Pow(lateQuantile, 1/float64(n)))
+	}
+	if v.half[n] == 0 {
+		v.half[n], v.late[n] = v.exceededBy(1-math.Pow(0.5, 1/float64(n))), v.exceededBy(1-math.Pow(lateQuantile, 1/float64(n)))
 	}
-	if t.half[n] == 0 {
-		t.half[n], t.late[n] = t.spread.longest(n, 0.5), t.spread.longest(n, lateQuantile)
+	return v.half[n], v.late[n]
+}
+
+// leftOf returns the quantiles of the time until n running tasks have ended that
+// have run for x usual durations.
+func (v *survival) leftOf(x float64, n int) (half, late float64) {
+	reached := v.beyond[v.index(x)]
+	each := 1 / float64(n)
+	half = v.exceededBy(reached*(1-math.Pow(0.5, each))) - x
+	late = v.exceededBy(reached*(1-math.Pow(lateQuantile, each))) - x
+	return max(leastLeft, half), max(leastLeft, late)
+}
+
+// meanLeft is the mean time left to a task that has run for x usual durations.
+func (v *survival) meanLeft(x float64) float64 {
+	if x < gridFirst {
+		return v.mean - x
 	}
-	return t.half[n], t.late[n]
+	return max(leastLeft, v.rest[v.index(x)])
+}
+
+// multiple returns d in units of typical.
+func multiple(d, typical time.Duration) float64 {
+	return float64(d) / float64(max(time.Millisecond, typical))
 }
--- a/entry/scheduler/forecastsnapshot.go
+++ b/entry/scheduler/forecastsnapshot.go
@@ -228,7 +228,7 @@
 	free := w.info.Capacity.Sub(w.used)
 	unused := max(0, free.CPU+t.learner.leftover(w, now))
 	m.capacity += w.info.Capacity.CPU
-	m.reserved += w.info.Capacity.CPU - w.lasting.CPU
+	m.reserved += max(0, w.info.Capacity.CPU-w.lasting.CPU-w.heldForOthers(workload.TaskID{}).CPU)
 	m.unused += unused
 	if len(m.images) == 0 {
 		return
