--- a/decide/forecast/snapshot.go
+++ b/decide/forecast/snapshot.go
@@ -112,3 +112,20 @@
 	Ends    map[workload.JobID]End
 	Outlook Outlook
 }
+
+// Demand sums the cores of the waiting and of the running tasks of a room, those
+// of lasting tasks left out.
+func (s *Snapshot) Demand(room int) (waiting, running float64) {
+	for i := range s.Jobs {
+		if s.Jobs[i].Endless {
+			continue
+		}
+		for k := range s.Jobs[i].Steps {
+			if x := &s.Jobs[i].Steps[k]; x.Room == room {
+				waiting += float64(x.Waiting) * x.Cores
+				running += float64(len(x.Running)) * x.Cores
+			}
+		}
+	}
+	return waiting, running
+}
--- a/entry/scheduler/forecast.go
+++ b/entry/scheduler/forecast.go
@@ -22,6 +22,8 @@
 	// settleAfter is the time after which all agents have reported to a new term.
 	// Until then, the room is the one that the term before has stored, if larger.
 	settleAfter = 2 * time.Second
+	// backlogLogEvery is the time between two log lines on the backlog.
+	backlogLogEvery = 5 * time.Second
 	// leastTypical stands for the duration of tasks without an estimate.
 	leastTypical = 50 * time.Millisecond
 )
@@ -33,7 +35,9 @@
 	last     forecast.Forecast
 	// madeAt is when last was made, cost what it took; both by Deps.Now.
 	madeAt, cost time.Duration
-	arrivals     []forecast.Arrival
+	// loggedAt is when the backlog was last logged.
+	loggedAt time.Duration
+	arrivals []forecast.Arrival
 	// arrived are the jobs not yet counted among the arrivals: their work is known
 	// with the next snapshot.
 	arrived []*job
@@ -128,6 +132,28 @@
 	c.cost = c.madeAt - begun
 	t.deps.Counters.Forecast.Observe(c.cost)
 	t.trackForecast(s)
+	t.logBacklog(s)
+}
+
+// logBacklog logs, for each room, what is forecast, once per backlogLogEvery.
+func (t *Term) logBacklog(s *forecast.Snapshot) {
+	c := t.forecaster
+	if c.loggedAt != 0 && c.madeAt-c.loggedAt < backlogLogEvery {
+		return
+	}
+	c.loggedAt = c.madeAt
+	last := s.At
+	for _, e := range c.last.Ends {
+		last = max(last, e.Half)
+	}
+	for i := range s.Rooms {
+		r := &s.Rooms[i]
+		waiting, running := s.Demand(i)
+		if waiting+running > 0 {
+			t.deps.Log.Info().Str("service", r.Service).Bool("filling", r.Filling).Float64("cores", roundThousandth(r.Cores)).Float64("usual_cores", roundThousandth(r.Usual)).
+				Float64("waiting_cores", roundThousandth(waiting)).Float64("running_cores", roundThousandth(running)).Int("jobs", len(s.Jobs)).Dur("all_end", last-s.At).Msg("backlog forecast")
+		}
+	}
 }
 
 // forecastArrival records that a job was accepted. The caller holds mu.
