Forecast: an image's room is what is free on the workers that it can use

Small jobs were forecast to start at once while the workers on which they press on nobody were full: running tasks counted as spread over all workers. Now the room that is free for an image at present is measured, and grows with what the running tasks release.

--- a/decide/forecast/forecast.go
+++ b/decide/forecast/forecast.go
@@ -37,6 +37,9 @@
 	for i := range s.Jobs {
 		m.occupyRunning(&s.Jobs[i])
 	}
+	for _, p := range m.profiles {
+		p.occupied()
+	}
 	marks := newMarks(s)
 	for i := range s.Jobs {
 		marks.pass(m, s.Jobs[i].Key)
@@ -96,7 +99,7 @@
 			sum += m.spread.meanLeft(multiple(elapsed, s.Typical))
 		}
 		n := float64(len(s.Running))
-		m.profiles[s.Room].occupy(s.Image, n*s.Cores, sum/n*s.Typical.Seconds())
+		m.profiles[s.Room].occupy(n*s.Cores, sum/n*s.Typical.Seconds())
 	}
 }
 
--- a/decide/forecast/profile.go
+++ b/decide/forecast/profile.go
@@ -55,8 +55,13 @@
 	room  *Room
 	cores [buckets]float64
 	used  [buckets]float64
-	// byImage is the part of used by tasks of each image.
-	byImage [][buckets]float64
+	// begun is the part of used by tasks that do not run yet, byImage that of each
+	// image. released is the share of the running tasks that have ended.
+	begun    [buckets]float64
+	byImage  [][buckets]float64
+	released [buckets]float64
+	// running is the CPU of the tasks that run.
+	running float64
 	// full is the first bucket that is not used up.
 	full int
 }
@@ -71,7 +76,7 @@
 }
 
 // free is the room that is left in a bucket for an image. The tasks of other
-// images are assumed to be spread evenly over the workers.
+// images that begin from now on are assumed to be spread evenly over the workers.
 func (p *profile) free(b, image int) float64 {
 	free := p.cores[b] - p.used[b]
 	if image < 0 || image >= len(p.byImage) {
@@ -79,21 +84,45 @@
 	}
 	share := p.room.Images[image]
 	own := p.byImage[image][b]
-	return min(free, share*p.cores[b]-own-share*(p.used[b]-own))
+	now := p.freeNow(image)
+	return min(free, (now+(share-now)*p.released[b])*p.cores[b]-own-share*(p.begun[b]-own))
+}
+
+// freeNow is the part of the room that is free at present for an image.
+func (p *profile) freeNow(image int) float64 {
+	if image < len(p.room.Free) {
+		return p.room.Free[image]
+	}
+	if p.cores[0] <= 0 {
+		return 0
+	}
+	return p.room.Images[image] * max(0, 1-p.running/p.cores[0])
 }
 
 func (p *profile) use(b, image int, cores float64) {
 	p.used[b] += cores
+	p.begun[b] += cores
 	if image >= 0 && image < len(p.byImage) {
 		p.byImage[image][b] += cores
 	}
 }
 
 // occupy takes room from now on, whether it is there or not: the tasks run.
-func (p *profile) occupy(image int, cores, seconds float64) {
+func (p *profile) occupy(cores, seconds float64) {
 	for b := 0; b < buckets && p.axis.from[b] < seconds; b++ {
 		width := p.axis.from[b+1] - p.axis.from[b]
-		p.use(b, image, cores*min(1, (seconds-p.axis.from[b])/width))
+		p.used[b] += cores * min(1, (seconds-p.axis.from[b])/width)
+	}
+	p.running += cores
+}
+
+// occupied is called once all running tasks have taken their room.
+func (p *profile) occupied() {
+	for b := range p.released {
+		p.released[b] = 1
+		if p.running > 0 {
+			p.released[b] = max(0, 1-p.used[b]/p.running)
+		}
 	}
 }
 
--- a/decide/forecast/snapshot.go
+++ b/decide/forecast/snapshot.go
@@ -39,6 +39,10 @@
 	// filling tasks keep off workers where they press on serving tasks, and need
 	// whole tasks' worth of room. Steps refer to it by index.
 	Images []float64
+	// Free holds the part of Cores that is free at present for an image: the running
+	// tasks may crowd just the workers that the image can use. Without it, the
+	// running tasks are taken to be spread evenly.
+	Free []float64
 }
 
 // Job is an accepted job.
--- a/entry/scheduler/forecastsnapshot.go
+++ b/entry/scheduler/forecastsnapshot.go
@@ -198,7 +198,9 @@
 	capacity, unused, reserved int
 	images                     []fillingImage
 	columns                    []int
-	byImage                    []int
+	// byImage is the room that tasks of each image can use, freeFor that which is
+	// free at present.
+	byImage, freeFor []int
 }
 
 // measureRooms sets the capacity of all rooms.
@@ -206,7 +208,7 @@
 	table := b.t.learner.weights()
 	meters := make(map[string]*roomMeter, len(b.rooms))
 	for service, n := range b.rooms {
-		m := &roomMeter{images: make([]fillingImage, len(b.images[n])), columns: make([]int, len(b.images[n])), byImage: make([]int, len(b.images[n]))}
+		m := &roomMeter{images: make([]fillingImage, len(b.images[n])), columns: make([]int, len(b.images[n])), byImage: make([]int, len(b.images[n])), freeFor: make([]int, len(b.images[n]))}
 		for image, i := range b.images[n] {
 			m.images[i], m.columns[i] = image, table.column(image.image)
 		}
@@ -240,6 +242,7 @@
 	for i, x := range m.images {
 		if x.need.CPU > 0 && !presses(table, rows, m.columns[i], x.need, w.info.Capacity) {
 			m.byImage[i] += unused / x.need.CPU * x.need.CPU
+			m.freeFor[i] += max(0, unused-w.fillLoad) / x.need.CPU * x.need.CPU
 		}
 	}
 }
@@ -263,14 +266,7 @@
 	filling.Cores, reserved.Cores = float64(m.unused)/1000, float64(m.reserved)/1000
 	share := c.averageShare(service, m, now)
 	filling.Usual, reserved.Usual = share*float64(m.capacity)/1000, reserved.Cores
-	filling.Images = make([]float64, len(m.byImage))
-	for i, cores := range m.byImage {
-		// Filling work that presses everywhere is barred nowhere.
-		filling.Images[i] = 1
-		if cores > 0 {
-			filling.Images[i] = float64(cores) / float64(m.unused)
-		}
-	}
+	m.setImages(filling)
 	if old, ok := c.stored[service]; ok && now < b.t.beganAt+settleAfter {
 		filling.Cores, filling.Usual = max(filling.Cores, old.Filling), max(filling.Usual, old.Filling)
 		reserved.Cores, reserved.Usual = max(reserved.Cores, old.Reserved), max(reserved.Usual, old.Reserved)
@@ -278,6 +274,20 @@
 	c.rooms[service] = storedRoom{Filling: filling.Usual, Reserved: reserved.Usual}
 }
 
+// setImages sets the parts of the room that each image can use.
+func (m *roomMeter) setImages(r *forecast.Room) {
+	r.Images, r.Free = make([]float64, len(m.byImage)), make([]float64, len(m.byImage))
+	for i, cores := range m.byImage {
+		if cores == 0 || m.unused == 0 {
+			// Filling work that presses everywhere is barred nowhere.
+			r.Images[i], r.Free[i] = 1, 1
+			continue
+		}
+		r.Images[i] = float64(cores) / float64(m.unused)
+		r.Free[i] = float64(m.freeFor[i]) / float64(m.unused)
+	}
+}
+
 // averageShare updates and returns the mean share of a service's CPU that filling
 // tasks can use. A share follows lost workers at once, while the mean of cores
 // would not.
