Forecast: a line from estimates to durations by queue

Estimates are off by a random factor, so among the shortest most are too short and among the longest too long; a ratio by image took them at their word. A line by queue, fitted to ended steps, expects them nearer to the mean; an image's own ratio is what it differs from the line.

--- a/decide/forecast/forecast_test.go
+++ b/decide/forecast/forecast_test.go
@@ -276,7 +276,7 @@
 		for range 8 {
 			r.EndedTask(&s, "slow", time.Second, 3*time.Second, 3*time.Second, 6*time.Second)
 		}
-		r.EndedStep(s, "slow", "q")
+		r.EndedStep(s, "slow", "q", time.Second)
 	}
 	if got := r.Typical(StepTimes{}, "slow", "q", time.Second); got < 4*time.Second || got > 6500*time.Millisecond {
 		t.Errorf("known image: %v, want about 6 s", got)
@@ -293,6 +293,23 @@
 	}
 }
 
+// Estimates are off by a random factor, so the shortest are mostly too short and
+// the longest mostly too long. The forecast must not take them at their word.
+func TestExtremeEstimatesAreNotTakenAtTheirWord(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	var r Runtimes
+	for range 100 {
+		typical := 2 * math.Exp(0.3*rng.NormFloat64())
+		estimate := typical * math.Exp(0.5*rng.NormFloat64())
+		s := StepTimes{Logs: 8 * math.Log(typical/estimate), Tasks: 8}
+		r.EndedStep(s, "i", "q", time.Duration(estimate*float64(time.Second)))
+	}
+	short, long := r.Typical(StepTimes{}, "i", "q", 600*time.Millisecond), r.Typical(StepTimes{}, "i", "q", 6*time.Second)
+	if short < 1200*time.Millisecond || long > 4*time.Second {
+		t.Errorf("of estimates of 0.6 s and 6 s for tasks of about 2 s it makes %v and %v", short, long)
+	}
+}
+
 // The longest of a step's tasks decides its end: quantiles against draws.
 func TestLongestOfATaskSet(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 3))
--- a/decide/forecast/learn.go
+++ b/decide/forecast/learn.go
@@ -54,10 +54,11 @@
 // Runtimes learns how long tasks take: their working time relative to their
 // estimates, and the time from start to end relative to the working time.
 type Runtimes struct {
-	// Images and Queues hold the ratios to the estimates, Paces those to the
+	// Queues relate working times to estimates, Images hold the ratios to what the
+	// queue's relation says, Paces those of the time from start to end to the
 	// working time by image.
+	Queues map[string]*Fit   `json:"q,omitempty"`
 	Images map[string]*Ratio `json:"i,omitempty"`
-	Queues map[string]*Ratio `json:"q,omitempty"`
 	Paces  map[string]*Ratio `json:"p,omitempty"`
 	Spread Spread            `json:"s"`
 }
@@ -136,19 +137,34 @@
 const spreadForget = 0.999
 
 // EndedStep learns from a step all of whose tasks have ended.
-func (r *Runtimes) EndedStep(s StepTimes, image, queue string) {
+func (r *Runtimes) EndedStep(s StepTimes, image, queue string, estimate time.Duration) {
 	if s.Tasks == 0 {
 		return
 	}
-	x := s.Logs / float64(s.Tasks)
-	observe(&r.Images, image, x)
-	observe(&r.Queues, queue, x)
+	x := math.Log(estimate.Seconds())
+	y := x + s.Logs/float64(s.Tasks)
+	if r.Queues == nil {
+		r.Queues = map[string]*Fit{}
+	}
+	f := r.Queues[queue]
+	if f == nil && len(r.Queues) < maxKnown {
+		f = &Fit{}
+		r.Queues[queue] = f
+	}
+	if f != nil {
+		f.Observe(x, y)
+	}
+	observe(&r.Images, image, y-f.At(x))
 }
 
 // Typical is the expected time between start and end of a usual task.
 func (r *Runtimes) Typical(s StepTimes, image, queue string, estimate time.Duration) time.Duration {
-	mean, variance := r.Queues[queue].combine(0, estimateNoise*estimateNoise)
-	mean, variance = r.Images[image].combine(mean, variance)
+	if estimate <= 0 {
+		return 0
+	}
+	x := math.Log(estimate.Seconds())
+	mean, variance := r.Images[image].combine(0, estimateNoise*estimateNoise)
+	mean += r.Queues[queue].At(x) - x
 	if s.Tasks > 0 {
 		// The step's own tasks differ far less than the steps.
 		w := stepNoise * stepNoise / max(variance, 0.01)
--- a/entry/scheduler/forecast.go
+++ b/entry/scheduler/forecast.go
@@ -179,7 +179,7 @@
 	}
 	c.runtimes.EndedTask(&s.times, s.spec.Image, s.spec.Estimate, k.worked+worked, worked, ran)
 	if s.done+1 == len(s.tasks) {
-		c.runtimes.EndedStep(s.times, s.spec.Image, j.queue.Name)
+		c.runtimes.EndedStep(s.times, s.spec.Image, j.queue.Name, s.spec.Estimate)
 	}
 	c.changes++
 }
