--- a/decide/pressure/kinds.go
+++ b/decide/pressure/kinds.go
@@ -12,7 +12,7 @@
 
 const (
 	// A pair up to harmlessWeight doesn't press, and a pair from pressingWeight
-	// on presses to the full degree (see Weight.presses).
+	// on presses to the full degree (see Weight.Presses).
 	harmlessWeight = 0.25
 	pressingWeight = 0.75
 	// minCompared is the least evidence for comparing two serving images: about
@@ -59,7 +59,7 @@
 		if !w.Known || !o.Known {
 			continue
 		}
-		x, y := w.presses(), o.presses()
+		x, y := w.Presses(), o.Presses()
 		differing += max(x, y) - min(x, y)
 		either += max(x, y)
 	}
@@ -69,8 +69,8 @@
 	return difference{value: differing / either, known: true}
 }
 
-// presses is the degree to which the pair counts as pressing, from 0 to 1.
-func (w Weight) presses() float64 {
+// Presses is the degree to which the pair counts as pressing, from 0 to 1.
+func (w Weight) Presses() float64 {
 	return min(1, max(0, (w.Value-harmlessWeight)/(pressingWeight-harmlessWeight)))
 }
 
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -32,6 +32,9 @@
 	// Commit the duration of a transaction attempt that succeeded, Plan the time
 	// to make a plan and encode the changed jobs.
 	FirstStart, Commit, Plan histogram.Latency
+	// LaidOut counts the serving runs stopped so that they run where they leave
+	// more room to filling work.
+	LaidOut atomic.Int64
 	// PassedOver is the waiting time of tasks by what kept them waiting, counted
 	// while the policy Diagnosis is on.
 	PassedOver PassedOver
@@ -83,7 +86,7 @@
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
-		"passed_over_ms": c.PassedOver.figures(),
+		"laid_out": c.LaidOut.Load(), "passed_over_ms": c.PassedOver.figures(),
 		"blamed":         c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
--- /dev/null
+++ b/entry/scheduler/layout.go
@@ -0,0 +1,267 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"persimmonrock.example/decide/layout"
+	"persimmonrock.example/decide/pressure"
+)
+
+// maxUnknownPress bounds the probability assumed for an unknown pair, which is
+// not barred.
+const maxUnknownPress = 0.4
+
+// fillingDemand is the filling work of one service.
+type fillingDemand struct {
+	remembered layout.Demand
+	// present is the CPU of the tasks that run or could start, running that of
+	// those that run, by image.
+	present, running map[string]float64
+	// need is the mean CPU of a task, by image.
+	need map[string]float64
+}
+
+// fleetSnapshot is a fleet of package layout with the names of its parts.
+type fleetSnapshot struct {
+	layout.Fleet
+	serving, filling []string
+	refs             []taskRef
+	moving           int
+	// known counts the pairs of which it is known whether they press.
+	known, pairs int
+}
+
+// updateDemand updates the filling work of each service.
+func (t *Term) updateDemand(now time.Duration) {
+	if t.demand == nil {
+		t.demand = map[string]*fillingDemand{}
+	}
+	for _, d := range t.demand {
+		d.present, d.running = map[string]float64{}, map[string]float64{}
+	}
+	for _, j := range t.active {
+		if j.state.Final() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for si, s := range o.steps {
+				if s.spec.Fills && o.ready(si) {
+					t.demandOf(j.queue.Service).add(s)
+				}
+			}
+		}
+	}
+	for _, d := range t.demand {
+		d.remembered.Update(d.present, now)
+	}
+}
+
+func (t *Term) demandOf(service string) *fillingDemand {
+	d := t.demand[service]
+	if d == nil {
+		d = &fillingDemand{present: map[string]float64{}, running: map[string]float64{}, need: map[string]float64{}}
+		t.demand[service] = d
+	}
+	return d
+}
+
+// needGain is the weight of the latest step in the mean need of an image.
+const needGain = 0.2
+
+func (d *fillingDemand) add(s *step) {
+	cpu := float64(s.spec.Need.CPU)
+	d.present[s.spec.Image] += cpu * float64(len(s.tasks)-s.done)
+	d.running[s.spec.Image] += cpu * float64(len(s.tasks)-s.done-s.waiting)
+	if mean, ok := d.need[s.spec.Image]; ok {
+		cpu = mean + needGain*(cpu-mean)
+	}
+	d.need[s.spec.Image] = cpu
+}
+
+// snapshotFleet returns the workers and serving tasks of a service, with the
+// demand of the given filling images.
+func (t *Term) snapshotFleet(v *view, service string, demand func(image string) float64) *fleetSnapshot {
+	v.setService(service)
+	f := &fleetSnapshot{}
+	whole := 0
+	for i := range v.candidates {
+		c := &v.candidates[i]
+		w := layout.Worker{Free: c.Free}
+		if !c.Barred {
+			w.Room = max(0, float64(c.Free.CPU+c.Leftover))
+		}
+		whole += c.Capacity.CPU
+		f.Workers = append(f.Workers, w)
+	}
+	d := t.demandOf(service)
+	f.filling = d.remembered.Images()
+	slices.Sort(f.filling)
+	for _, image := range f.filling {
+		f.Demand = append(f.Demand, demand(image))
+	}
+	t.addServingTasks(v, service, f)
+	if len(v.candidates) > 0 {
+		f.addPresses(t.learner.weights(), d, whole/len(v.candidates))
+	}
+	return f
+}
+
+func (t *Term) addServingTasks(v *view, service string, f *fleetSnapshot) {
+	now := time.Now()
+	tasks, found, moving := t.servingTasks(v)
+	f.moving = moving
+	for i := range tasks {
+		if found[i].job.queue.Service == service && !slices.Contains(f.serving, tasks[i].Image) {
+			f.serving = append(f.serving, tasks[i].Image)
+		}
+	}
+	slices.Sort(f.serving)
+	for i, x := range tasks {
+		if found[i].job.queue.Service != service {
+			continue
+		}
+		image, _ := slices.BinarySearch(f.serving, x.Image)
+		barred := x.Barred
+		f.Tasks = append(f.Tasks, layout.Task{
+			Image: image, Step: x.Step, Worker: x.Worker, Need: x.Need, Fixed: x.Fixed || now.Before(found[i].task.pinUntil),
+			Barred: func(w int) bool { return barred[w] },
+		})
+		f.refs = append(f.refs, found[i])
+	}
+}
+
+// addPresses sets the probabilities that filling images press, for tasks of their
+// mean need on a worker of the mean capacity.
+func (f *fleetSnapshot) addPresses(table *weightTable, d *fillingDemand, capacity int) {
+	for _, serving := range f.serving {
+		weights := table.weights[table.row(serving)]
+		row := make([]float64, len(f.filling))
+		for i, filling := range f.filling {
+			row[i] = pressProbability(weights[table.column(filling)], d.need[filling], capacity)
+			f.pairs++
+			if weights[table.column(filling)].Known {
+				f.known++
+			}
+		}
+		f.Presses = append(f.Presses, row)
+	}
+}
+
+// pressProbability is the probability that a task with this need is barred beside
+// the serving image (see weightTable.pressedBy).
+func pressProbability(w pressure.Weight, need float64, capacity int) float64 {
+	switch {
+	case !w.Known:
+		return min(maxUnknownPress, w.Presses())
+	case capacity > 0 && w.Value*need/float64(capacity) > pressingExtra:
+		return 1
+	}
+	return 0
+}
+
+// layoutTerm is what a term keeps for the layout of serving images.
+type layoutTerm struct {
+	demand       map[string]*fillingDemand
+	lastMeasured time.Duration
+	lastPairs    time.Duration
+}
+
+const (
+	// measureEvery is the time between two measures of the layout, pairsEvery that
+	// between two lists of the learnt pairs.
+	measureEvery = time.Second
+	pairsEvery   = 5 * time.Second
+	// maxPairLines bounds the serving images of one list.
+	maxPairLines = 32
+)
+
+// measureLayout logs how much of the filling work could run where the serving
+// tasks lie, how much at best, and now and then the pairs that press. The caller
+// holds mu.
+func (t *Term) measureLayout() {
+	now := t.deps.Now()
+	if !t.loaded || !t.cfg.Policies.Diagnosis.Enabled || now-t.lastMeasured < measureEvery {
+		return
+	}
+	t.lastMeasured = now
+	t.updateDemand(now)
+	withPairs := now-t.lastPairs >= pairsEvery
+	if withPairs {
+		t.lastPairs = now
+	}
+	v := t.newView()
+	for service, d := range t.demand {
+		f := t.snapshotFleet(v, service, func(image string) float64 { return d.present[image] })
+		if len(f.Tasks) == 0 {
+			continue
+		}
+		m := f.Measure()
+		running := 0.0
+		for _, cpu := range d.running {
+			running += cpu
+		}
+		t.deps.Log.Info().Str("service", service).Float64("demand", m.Demand).Float64("room", m.Room).Float64("runnable", m.Runnable).
+			Float64("best", m.Best).Float64("running", running).Int("known", f.known).Int("pairs", f.pairs).Msg("layout measured")
+		if withPairs {
+			t.logPairs(f)
+		}
+	}
+}
+
+func (t *Term) logPairs(f *fleetSnapshot) {
+	on := make([]map[int]bool, len(f.serving))
+	for i := range f.Tasks {
+		x := &f.Tasks[i]
+		if on[x.Image] == nil {
+			on[x.Image] = map[int]bool{}
+		}
+		on[x.Image][x.Worker] = true
+	}
+	for s, image := range f.serving[:min(len(f.serving), maxPairLines)] {
+		var pressing []string
+		for i, p := range f.Presses[s] {
+			if p == 1 {
+				pressing = append(pressing, f.filling[i])
+			}
+		}
+		t.deps.Log.Info().Str("image", image).Int("workers", len(on[s])).Strs("pressed_by", pressing).Msg("pairs learnt")
+	}
+}
+
+// planLayout moves serving tasks so that more of the filling work may run. It
+// replaces regroup while the policy Layout is on. The caller holds mu.
+func (t *Term) planLayout() bool {
+	now := t.deps.Now()
+	if !t.loaded || now-t.lastRegroup < regroupEvery {
+		return false
+	}
+	t.lastRegroup = now
+	t.regroupRounds++
+	t.updateDemand(now)
+	v := t.newView()
+	share := fleetScale(len(v.workers))
+	moved := 0
+	for service, d := range t.demand {
+		f := t.snapshotFleet(v, service, func(image string) float64 { return d.weight(image) })
+		if f.moving >= regroupAtOnce*share {
+			continue
+		}
+		for _, m := range f.Exchanges(layout.Limits{Moves: share, Pass: t.regroupRounds}) {
+			moved++
+			t.deps.Counters.LaidOut.Add(1)
+			t.moveTo(v, f.refs[m.One], m.To, "serving task moved for the layout")
+			if m.Other != layout.NoOther {
+				t.deps.Counters.LaidOut.Add(1)
+				t.moveTo(v, f.refs[m.Other], f.Tasks[m.One].Worker, "serving task moved for the layout")
+			}
+		}
+	}
+	return moved > 0
+}
+
+// weight is the demand of an image by which the layout is chosen: the work that
+// waits counts twice, since moves are for this work first.
+func (d *fillingDemand) weight(image string) float64 {
+	return d.remembered.Of(image) + max(0, d.present[image]-d.running[image])
+}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -106,6 +106,7 @@
 	// lastRegroup is when the mix of serving images was last checked.
 	lastRegroup   time.Duration
 	regroupRounds int
+	layoutTerm
 	// lastRelocate is when filling runs were last checked.
 	lastRelocate time.Duration
 	// retired are jobs whose rows are deleted except for their progress.
@@ -191,9 +192,14 @@
 		changed = t.beginOccurrences() || changed
 		changed = t.updateDrains() || changed
 		changed = t.evacuateDrained() || changed
-		changed = t.regroup() || changed
+		if t.cfg.Policies.Layout.Enabled {
+			changed = t.planLayout() || changed
+		} else {
+			changed = t.regroup() || changed
+		}
 		t.countAgents()
 		t.countDrained()
+		t.measureLayout()
 		t.mu.Unlock()
 		if changed {
 			t.wakeUp()
