--- a/decide/layout/exchange.go
+++ b/decide/layout/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"persimmonrock.example/structs/workload"
 )
 
 // Move moves task One to the worker To, and task Other, unless it is NoOther, to
@@ -273,57 +275,104 @@
 	return movable
 }
 
-// carryOut appends the moves of a candidate that are possible now. The others of
-// its group follow in later passes, where fewer tasks remain to be moved for the
-// same gain.
+// carryOut appends the moves of a candidate that are possible now, if its whole
+// group can move sooner or later: half a group may be worth less than none, and
+// would move back. The others of the group follow in later passes, where fewer
+// tasks remain to be moved for the same gain.
 func (s *search) carryOut(c candidate, moves []Move, most int) []Move {
-	for range c.count {
-		if len(moves) >= most {
-			break
+	group := s.findGroup(c)
+	if len(group) < c.count {
+		return moves
+	}
+	for _, m := range group {
+		if len(moves) < most && s.possibleNow(m) {
+			s.apply(m)
+			moves = append(moves, m)
+			s.used[c.one.worker], s.used[c.other.worker] = true, true
 		}
-		m, ok := s.findTasks(c)
+	}
+	return moves
+}
+
+// findGroup finds tasks for all exchanges of a candidate, if possible such as may
+// move now. It returns fewer if there are not enough.
+func (s *search) findGroup(c candidate) []Move {
+	from, to := c.one.worker, c.other.worker
+	free := [2]workload.Resources{s.Workers[from].Free, s.Workers[to].Free}
+	taken := map[int]bool{}
+	var group []Move
+	for len(group) < c.count {
+		m, ok := s.findTasks(c, free, taken)
 		if !ok {
 			break
 		}
-		s.apply(m)
-		moves = append(moves, m)
-		s.used[c.one.worker], s.used[c.other.worker] = true, true
+		one := &s.Tasks[m.One]
+		taken[m.One] = true
+		free[0], free[1] = free[0].Add(one.Need), free[1].Sub(one.Need)
+		if m.Other != NoOther {
+			taken[m.Other] = true
+			free[0], free[1] = free[0].Sub(s.Tasks[m.Other].Need), free[1].Add(s.Tasks[m.Other].Need)
+		}
+		group = append(group, m)
 	}
-	return moves
+	return group
 }
 
-// findTasks finds tasks for one exchange of a candidate.
-func (s *search) findTasks(c candidate) (Move, bool) {
+// findTasks finds tasks for one exchange of a candidate, with the free capacity
+// of its two workers. It prefers tasks that may move now.
+func (s *search) findTasks(c candidate, free [2]workload.Resources, taken map[int]bool) (Move, bool) {
 	from, to := c.one.worker, c.other.worker
+	found, ok := Move{}, false
 	for _, i := range s.tasksOn[from] {
 		one := &s.Tasks[i]
-		if !s.mayMove(i, c.give, to) {
+		if taken[i] || !s.fits(i, c.give, to) {
 			continue
 		}
 		if c.take == len(s.Presses) {
-			if one.Need.Fits(s.Workers[to].Free) && s.pays(c, one.Need.CPU) {
-				return Move{One: i, To: to, Other: NoOther}, true
+			m := Move{One: i, To: to, Other: NoOther}
+			if one.Need.Fits(free[1]) && s.pays(c, one.Need.CPU) {
+				if s.possibleNow(m) {
+					return m, true
+				}
+				found, ok = m, true
 			}
 			continue
 		}
 		for _, k := range s.tasksOn[to] {
 			other := &s.Tasks[k]
-			if s.mayMove(k, c.take, from) && other.Step != one.Step && s.pays(c, (one.Need.CPU+other.Need.CPU)/2) &&
-				one.Need.Fits(s.Workers[to].Free.Add(other.Need)) && other.Need.Fits(s.Workers[from].Free.Add(one.Need)) {
-				return Move{One: i, To: to, Other: k}, true
+			if taken[k] || !s.fits(k, c.take, from) || other.Step == one.Step || !s.pays(c, (one.Need.CPU+other.Need.CPU)/2) ||
+				!one.Need.Fits(free[1].Add(other.Need)) || !other.Need.Fits(free[0].Add(one.Need)) {
+				continue
+			}
+			m := Move{One: i, To: to, Other: k}
+			if s.possibleNow(m) {
+				return m, true
 			}
+			found, ok = m, true
 		}
 	}
-	return Move{}, false
+	return found, ok
+}
+
+// possibleNow reports whether the tasks of a move may be stopped now.
+func (s *search) possibleNow(m Move) bool {
+	ready := func(i int) bool { return !s.Tasks[i].Fixed && !s.movedSteps[s.Tasks[i].Step] }
+	one := &s.Tasks[m.One]
+	if m.Other == NoOther {
+		return ready(m.One) && one.Need.Fits(s.Workers[m.To].Free)
+	}
+	other := &s.Tasks[m.Other]
+	return ready(m.One) && ready(m.Other) && one.Need.Fits(s.Workers[m.To].Free.Add(other.Need)) && other.Need.Fits(s.Workers[one.Worker].Free.Add(one.Need))
 }
 
 // pays reports whether the gain of each moved task exceeds what the task's
 // callers lose while it is away.
 func (s *search) pays(c candidate, cpu int) bool { return c.perTask*payback > float64(cpu)*away }
 
-func (s *search) mayMove(i, image, to int) bool {
+// fits reports whether a task is of the image and may run on a worker.
+func (s *search) fits(i, image, to int) bool {
 	t := &s.Tasks[i]
-	return t.Image == image && !t.Fixed && !s.movedSteps[t.Step] && (t.Barred == nil || !t.Barred(to))
+	return t.Image == image && !t.Stuck && (t.Barred == nil || !t.Barred(to))
 }
 
 // apply records a move for the rest of the pass. Capacity freed without an
--- a/decide/layout/layout.go
+++ b/decide/layout/layout.go
@@ -38,8 +38,8 @@
 	// Worker is the index of the task's worker.
 	Worker int
 	Need   workload.Resources
-	// Fixed tasks may not move now.
-	Fixed bool
+	// Fixed tasks may not move now. Stuck tasks may never move.
+	Fixed, Stuck bool
 	// Barred reports whether a worker is excluded for the task, besides those
 	// without capacity; nil bars none.
 	Barred func(worker int) bool
--- a/decide/layout/layout_test.go
+++ b/decide/layout/layout_test.go
@@ -23,7 +23,8 @@
 // testFleet is a fleet with what the passes of a test need.
 type testFleet struct {
 	Fleet
-	spread []bool
+	// spread is the most tasks of a step on a worker, or 0.
+	spread []int
 	// settled is the pass from which all tasks of a step may move.
 	settled []int
 	moved   int
@@ -52,7 +53,7 @@
 		f.Demand = append(f.Demand, 40000+rng.Float64()*80000)
 	}
 	for step := range d.steps {
-		f.spread = append(f.spread, step%2 == 0)
+		f.spread = append(f.spread, (step+1)%2)
 		f.settled = append(f.settled, 0)
 		f.placeStep(rng, step, rng.IntN(d.serving))
 	}
@@ -75,7 +76,7 @@
 			if tries > len(f.Workers) {
 				return
 			}
-			if need.Fits(f.Workers[at].Free) && !(f.spread[step] && f.on[[2]int{step, at}] > 0) {
+			if need.Fits(f.Workers[at].Free) && !(f.full(step, at)) {
 				break
 			}
 			at = (at + 1) % len(f.Workers)
@@ -86,6 +87,11 @@
 	}
 }
 
+// full reports whether a worker has as many tasks of a step as may be together.
+func (f *testFleet) full(step, w int) bool {
+	return f.spread[step] > 0 && f.on[[2]int{step, w}] >= f.spread[step]
+}
+
 // settlePasses is the number of passes for which a step stays as it is after a
 // move: 5 s and the time of the move, at 400 ms a pass.
 const settlePasses = 16
@@ -94,7 +100,7 @@
 	for i := range f.Tasks {
 		step := f.Tasks[i].Step
 		f.Tasks[i].Fixed = f.settled[step] > pass
-		f.Tasks[i].Barred = func(w int) bool { return f.spread[step] && f.on[[2]int{step, w}] > 0 }
+		f.Tasks[i].Barred = func(w int) bool { return f.full(step, w) }
 	}
 }
 
@@ -115,7 +121,7 @@
 		}
 	}
 	for at, n := range f.on {
-		if f.spread[at[0]] && n > 1 {
+		if f.spread[at[0]] > 0 && n > f.spread[at[0]] {
 			t.Fatalf("%d tasks of spread step %d on worker %d", n, at[0], at[1])
 		}
 	}
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -87,7 +87,7 @@
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
 		"laid_out": c.LaidOut.Load(), "passed_over_ms": c.PassedOver.figures(),
-		"blamed":         c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
+		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
--- a/entry/scheduler/layout.go
+++ b/entry/scheduler/layout.go
@@ -34,9 +34,6 @@
 
 // updateDemand updates the filling work of each service.
 func (t *Term) updateDemand(now time.Duration) {
-	if t.demand == nil {
-		t.demand = map[string]*fillingDemand{}
-	}
 	for _, d := range t.demand {
 		d.present, d.running = map[string]float64{}, map[string]float64{}
 	}
@@ -60,6 +57,9 @@
 func (t *Term) demandOf(service string) *fillingDemand {
 	d := t.demand[service]
 	if d == nil {
+		if t.demand == nil {
+			t.demand = map[string]*fillingDemand{}
+		}
 		d = &fillingDemand{present: map[string]float64{}, running: map[string]float64{}, need: map[string]float64{}}
 		t.demand[service] = d
 	}
@@ -125,12 +125,18 @@
 		barred := x.Barred
 		f.Tasks = append(f.Tasks, layout.Task{
 			Image: image, Step: x.Step, Worker: x.Worker, Need: x.Need, Fixed: x.Fixed || now.Before(found[i].task.pinUntil),
+			Stuck:  found[i].stuck(),
 			Barred: func(w int) bool { return barred[w] },
 		})
 		f.refs = append(f.refs, found[i])
 	}
 }
 
+// stuck reports whether a task is never moved; see mayMove.
+func (r taskRef) stuck() bool {
+	return r.task.moves >= relocatePerTask || r.job.queue.Advised || r.step.spec.Gang || r.step.spec.MayMiss > 0
+}
+
 // addPresses sets the probabilities that filling images press, for tasks of their
 // mean need on a worker of the mean capacity.
 func (f *fleetSnapshot) addPresses(table *weightTable, d *fillingDemand, capacity int) {
@@ -160,6 +166,74 @@
 	return 0
 }
 
+// setLayoutMix sets Mix and SameImage of each candidate for a serving step, in
+// place of setMix, while the policy Layout is on.
+func (t *Term) setLayoutMix(v *view, service string, s *step) {
+	x := t.mixer(v, service, s.spec.Image)
+	own := x.index[s.spec.Image]
+	var on []int
+	for i, w := range v.workers {
+		c := &v.candidates[i]
+		c.SameImage = w.images[s.spec.Image] > 0
+		on = on[:0]
+		for image := range w.images {
+			if image != s.spec.Image {
+				on = append(on, x.index[image])
+			}
+		}
+		slices.Sort(on)
+		c.Mix = x.Mix(own, on)
+	}
+}
+
+// namedMixer is a mixer with the numbers of the serving images.
+type namedMixer struct {
+	layout.Mixer
+	index map[string]int
+}
+
+func (t *Term) mixer(v *view, service, extra string) *namedMixer {
+	x := &namedMixer{index: map[string]int{extra: 0}}
+	var names []string
+	for _, w := range v.workers {
+		for image := range w.images {
+			names = append(names, image)
+		}
+	}
+	slices.Sort(names)
+	f := &fleetSnapshot{serving: []string{extra}}
+	for _, image := range slices.Compact(names) {
+		if image != extra {
+			x.index[image] = len(f.serving)
+			f.serving = append(f.serving, image)
+		}
+	}
+	d := t.demandOf(service)
+	f.filling = d.remembered.Images()
+	slices.Sort(f.filling)
+	whole := 0
+	for _, w := range v.workers {
+		whole += w.info.Capacity.CPU
+	}
+	f.addPresses(t.learner.weights(), d, whole/max(1, len(v.workers)))
+	x.Presses = f.Presses
+	for _, image := range f.filling {
+		x.Weights = append(x.Weights, d.remembered.Of(image))
+	}
+	x.Together = make([][]int, len(f.serving))
+	for i := range x.Together {
+		x.Together[i] = make([]int, len(f.serving))
+	}
+	for _, w := range v.workers {
+		for a := range w.images {
+			for b := range w.images {
+				x.Together[x.index[a]][x.index[b]]++
+			}
+		}
+	}
+	return x
+}
+
 // layoutTerm is what a term keeps for the layout of serving images.
 type layoutTerm struct {
 	demand       map[string]*fillingDemand
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -108,6 +108,8 @@
 		if !t.waitExpired(v, j) {
 			v.barPressed(s.spec)
 		}
+	case s.spec.TailTarget > 0 && t.cfg.Policies.Layout.Enabled:
+		t.setLayoutMix(v, j.queue.Service, s)
 	case s.spec.TailTarget > 0:
 		t.setMix(v, s.spec)
 	}
