--- a/decide/layout/exchange.go
+++ b/decide/layout/exchange.go
@@ -72,7 +72,7 @@
 	occupied occupancy
 	// weight is the share of each filling image in the demand.
 	weight []float64
-	// scale is the part of the room that the demand can fill.
+	// scale is the part of the room opened that the work which waits could fill.
 	scale   float64
 	tasksOn [][]int
 	// used are the workers, movedSteps the steps that take part in a move.
@@ -90,11 +90,16 @@
 	for w := range f.Workers {
 		room += f.Workers[w].Room
 	}
-	if demand <= 0 || room <= 0 || len(f.Tasks) == 0 {
+	if len(f.Tasks) == 0 {
+		return nil
+	}
+	runnable := f.runnable()
+	unmet, idle := demand-runnable, room-runnable
+	if unmet < minFlow || idle < minFlow {
 		return nil
 	}
 	s := &search{
-		Fleet: f, occupied: f.occupancy(), weight: make([]float64, len(f.Demand)), scale: min(1, demand/room),
+		Fleet: f, occupied: f.occupancy(), weight: make([]float64, len(f.Demand)), scale: min(1, unmet/idle),
 		tasksOn: make([][]int, len(f.Workers)), used: make([]bool, len(f.Workers)), movedSteps: map[int]bool{}, counts: make([]int, len(f.Presses)),
 	}
 	for i, d := range f.Demand {
--- a/decide/layout/mix.go
+++ b/decide/layout/mix.go
@@ -11,13 +11,13 @@
 
 const (
 	// mixScale makes Mix 1 for images that differ in half of the filling work.
-	mixScale = 2.0
+	mixScale = 5.0
 	// unknownMix is the mix of two images of whose pairs nothing is known, and
 	// togetherMix that of two such images that share a worker already. While
 	// nothing is known, the same few combinations are formed again: later moves are
 	// then of whole groups, and some workers hold no more than two kinds.
-	unknownMix  = 0.6
-	togetherMix = 0.4
+	unknownMix  = 3.0
+	togetherMix = 2.0
 )
 
 // Mix is the part of the filling work, by its demand, that could run beside the
--- a/entry/scheduler/layout.go
+++ b/entry/scheduler/layout.go
@@ -241,6 +241,11 @@
 	lastPairs    time.Duration
 }
 
+// layoutAfter is the time after its placement from which a serving task counts as
+// at work again. The layout moves the next task of its step then: what a move
+// costs its callers is weighed against what it gains.
+const layoutAfter = 2 * time.Second
+
 const (
 	// measureEvery is the time between two measures of the layout, pairsEvery that
 	// between two lists of the learnt pairs.
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -108,24 +108,33 @@
 }
 
 // mayMove reports whether a task may be stopped for a move: it was not moved
-// too often, and all tasks of its step were placed at least regroupAfter ago.
+// too often, and all tasks of its step were placed at least restAfterMove ago.
 // Gangs and tasks that need tickets are not moved, nor tasks of steps that
 // bound their missing tasks: other tasks may be missing for reasons that the
 // scheduler does not see yet.
 func (t *Term) mayMove(j *job, s *step, k *task, now time.Time) bool {
-	if !k.ordered || k.stopping || k.moves >= relocatePerTask || now.Sub(k.placedAt) < regroupAfter || j.queue.Advised || s.spec.Gang ||
+	if !k.ordered || k.stopping || k.moves >= relocatePerTask || now.Sub(k.placedAt) < t.restAfterMove() || j.queue.Advised || s.spec.Gang ||
 		s.spec.MayMiss > 0 {
 		return false
 	}
 	for i := range s.tasks {
 		other := &s.tasks[i]
-		if other != k && (other.state != taskPlaced || other.stopping || now.Sub(other.placedAt) < regroupAfter) {
+		if other != k && (other.state != taskPlaced || other.stopping || now.Sub(other.placedAt) < t.restAfterMove()) {
 			return false
 		}
 	}
 	return true
 }
 
+// restAfterMove is the least time for which all tasks of a serving step stay where
+// they are before one of them is moved.
+func (t *Term) restAfterMove() time.Duration {
+	if t.cfg.Policies.Layout.Enabled {
+		return layoutAfter
+	}
+	return regroupAfter
+}
+
 // barredFor returns the workers that may not take a task even if it fits there.
 func (v *view) barredFor(j *job, s *step, k *task) map[int]bool {
 	barred := map[int]bool{}
