--- a/decide/layout/exchange.go
+++ b/decide/layout/exchange.go
@@ -29,20 +29,20 @@
 	// maxTogether is the most tasks of one image that are exchanged for tasks of
 	// another as a group. Where two tasks must leave a worker before anything gains,
 	// no single move would.
-	maxTogether = 3
+	maxTogether = 4
 	// maxWorkers bounds the workers of a pass, so that it takes a few milliseconds.
 	maxWorkers = 240
 	// perType is the number of workers considered for each type of exchange.
-	perType = 8
+	perType = 16
 	// away is the time, in seconds, for which a moved task's callers lose it;
 	// payback is the time within which the gain must exceed that. Both count CPU
 	// times seconds.
 	away    = 2.0
-	payback = 8.0
+	payback = 16.0
 	// completeWeight is the weight of the work that a worker is open to; the rest is
 	// for tasks that come nearer to opening it, so that groups larger than
 	// maxTogether are begun.
-	completeWeight = 0.8
+	completeWeight = 0.6
 )
 
 // Exchanges returns up to limits.Moves moves that gain most for the filling work
@@ -80,34 +80,34 @@
 	movedSteps map[int]bool
 	chosen     []int
 	counts     []int
+	// smallest is the least CPU of a task of each image.
+	smallest []int
 }
 
 func newSearch(f *Fleet, limits Limits) *search {
-	demand, room := 0.0, 0.0
-	for _, d := range f.Demand {
-		demand += d
+	m := f.Measure()
+	weights := 0.0
+	for _, q := range f.Weight {
+		weights += q
 	}
-	for w := range f.Workers {
-		room += f.Workers[w].Room
-	}
-	if len(f.Tasks) == 0 {
-		return nil
-	}
-	runnable := f.runnable()
-	unmet, idle := demand-runnable, room-runnable
-	if unmet < minFlow || idle < minFlow {
+	unmet, idle := m.Demand-m.Runnable, m.Room-m.Runnable
+	if len(f.Tasks) == 0 || weights <= 0 || unmet < minFlow || idle < minFlow {
 		return nil
 	}
 	s := &search{
 		Fleet: f, occupied: f.occupancy(), weight: make([]float64, len(f.Demand)), scale: min(1, unmet/idle),
 		tasksOn: make([][]int, len(f.Workers)), used: make([]bool, len(f.Workers)), movedSteps: map[int]bool{}, counts: make([]int, len(f.Presses)),
 	}
-	for i, d := range f.Demand {
-		s.weight[i] = d / demand
+	for i, q := range f.Weight {
+		s.weight[i] = q / weights
 	}
+	s.smallest = make([]int, len(f.Presses)+1)
 	for i := range f.Tasks {
-		w := f.Tasks[i].Worker
-		s.tasksOn[w] = append(s.tasksOn[w], i)
+		t := &f.Tasks[i]
+		s.tasksOn[t.Worker] = append(s.tasksOn[t.Worker], i)
+		if least := &s.smallest[t.Image]; *least == 0 || t.Need.CPU < *least {
+			*least = t.Need.CPU
+		}
 	}
 	s.chooseWorkers(limits.Pass)
 	return s
@@ -226,7 +226,7 @@
 				continue
 			}
 			for take := 0; take <= none; take++ {
-				if take != give {
+				if take != give && (give != none || s.smallest[take] <= s.Workers[w].Free.CPU) {
 					s.addOptions(all, w, give, take, before)
 				}
 			}
--- a/decide/layout/layout.go
+++ b/decide/layout/layout.go
@@ -19,6 +19,9 @@
 	Presses [][]float64
 	// Demand is the CPU that each filling image asks for.
 	Demand []float64
+	// Weight is, for each filling image, the CPU by which the layout is chosen: that
+	// of Demand and of work that is expected.
+	Weight []float64
 }
 
 // Worker is one worker.
--- a/decide/layout/layout_test.go
+++ b/decide/layout/layout_test.go
@@ -52,6 +52,7 @@
 	for range d.filling {
 		f.Demand = append(f.Demand, 40000+rng.Float64()*80000)
 	}
+	f.Weight = f.Demand
 	for step := range d.steps {
 		f.spread = append(f.spread, (step+1)%2)
 		f.settled = append(f.settled, 0)
--- a/entry/scheduler/layout.go
+++ b/entry/scheduler/layout.go
@@ -80,8 +80,8 @@
 }
 
 // snapshotFleet returns the workers and serving tasks of a service, with the
-// demand of the given filling images.
-func (t *Term) snapshotFleet(v *view, service string, demand func(image string) float64) *fleetSnapshot {
+// demand of its filling images.
+func (t *Term) snapshotFleet(v *view, service string) *fleetSnapshot {
 	v.setService(service)
 	f := &fleetSnapshot{}
 	whole := 0
@@ -98,7 +98,8 @@
 	f.filling = d.remembered.Images()
 	slices.Sort(f.filling)
 	for _, image := range f.filling {
-		f.Demand = append(f.Demand, demand(image))
+		f.Demand = append(f.Demand, d.present[image])
+		f.Weight = append(f.Weight, d.weight(image))
 	}
 	t.addServingTasks(v, service, f)
 	if len(v.candidates) > 0 {
@@ -271,7 +272,7 @@
 	}
 	v := t.newView()
 	for service, d := range t.demand {
-		f := t.snapshotFleet(v, service, func(image string) float64 { return d.present[image] })
+		f := t.snapshotFleet(v, service)
 		if len(f.Tasks) == 0 {
 			continue
 		}
@@ -321,8 +322,8 @@
 	v := t.newView()
 	share := fleetScale(len(v.workers))
 	moved := 0
-	for service, d := range t.demand {
-		f := t.snapshotFleet(v, service, func(image string) float64 { return d.weight(image) })
+	for service := range t.demand {
+		f := t.snapshotFleet(v, service)
 		if f.moving >= regroupAtOnce*share {
 			continue
 		}
