explain -summary: why tasks waited, and what filling work could run at best

From the diagnosis' log lines: task-seconds by cause, and core-seconds asked for, run, runnable where the serving tasks lay and at their best.

--- a/entry/scheduler/diagnosis.go
+++ b/entry/scheduler/diagnosis.go
@@ -106,7 +106,7 @@
 	for _, n := range []struct {
 		name  string
 		count int
-	}{{"paused", p.paused}, {"moving", p.moving}, {"suspects", p.suspects}, {"tasks", p.others}} {
+	}{{"tasks_paused", p.paused}, {"tasks_moving", p.moving}, {"tasks_suspect", p.suspects}, {"tasks_waiting", p.others}} {
 		if n.count > 0 {
 			e.Int(n.name, n.count)
 		}
@@ -114,7 +114,7 @@
 	if p.others == 0 {
 		return
 	}
-	e.Str("main", p.workers.Main().String()).Int("open", p.workers.Open)
+	e.Str("main", p.workers.Main().String()).Int("workers_open", p.workers.Open)
 	e.Dict("workers", countsByCause(&p.workers.Workers)).Dict("sole", countsByCause(&p.workers.Sole))
 }
 
--- a/entry/scheduler/layout.go
+++ b/entry/scheduler/layout.go
@@ -281,8 +281,8 @@
 		for _, cpu := range d.running {
 			running += cpu
 		}
-		t.deps.Log.Info().Str("service", service).Float64("demand", m.Demand).Float64("room", m.Room).Float64("runnable", m.Runnable).
-			Float64("best", m.Best).Float64("running", running).Int("known", f.known).Int("pairs", f.pairs).Msg("layout measured")
+		t.deps.Log.Info().Str("service", service).Float64("demand_cpu", m.Demand).Float64("room_cpu", m.Room).
+			Float64("runnable_cpu", m.Runnable).Float64("best_cpu", m.Best).Float64("running_cpu", running).Int("known", f.known).Int("pairs", f.pairs).Msg("layout measured")
 		if withPairs {
 			t.logPairs(f)
 		}
--- a/ops/breakdown/breakdown.go
+++ b/ops/breakdown/breakdown.go
@@ -72,6 +72,11 @@
 	// their targets. OverTargetFilled is the part of it with filling work
 	// beside these tasks.
 	OverTarget, OverTargetFilled float64
+	// PassedOver is the waiting time of tasks, in seconds, by what kept them
+	// waiting, Room the filling work; both are empty unless the scheduler's policy
+	// Diagnosis was on.
+	PassedOver map[string]float64
+	Room       Room
 	// LeftOut counts the lines that processes left out of their logs, by
 	// message; the other figures lack these lines.
 	LeftOut map[string]int
@@ -91,7 +96,7 @@
 // Report evaluates the log.
 func (l *Log) Report() Report {
 	h := l.history()
-	r := Report{OverTarget: h.overTarget / 1000, OverTargetFilled: h.overTargetFilled / 1000, LeftOut: h.leftOut, Unaligned: h.unaligned}
+	r := Report{OverTarget: h.overTarget / 1000, OverTargetFilled: h.overTargetFilled / 1000, LeftOut: h.leftOut, Unaligned: h.unaligned, PassedOver: h.waits.passedOver, Room: h.waits.room}
 	for _, j := range h.jobs {
 		if !j.fills || j.known == 0 {
 			continue
--- a/ops/breakdown/jobs.go
+++ b/ops/breakdown/jobs.go
@@ -70,6 +70,7 @@
 	first                        float64
 	leftOut                      map[string]int
 	unaligned                    []string
+	waits                        waits
 }
 
 func (l *Log) history() *history {
@@ -113,6 +114,10 @@
 		if l.Filled {
 			h.overTargetFilled += l.Over
 		}
+	case "tasks of a step passed over":
+		h.waits.addPassedOver(l)
+	case "layout measured":
+		h.waits.addLayout(l)
 	case "placed":
 		h.addPlacements(l)
 	case "start", "run ended":
--- a/ops/breakdown/print.go
+++ b/ops/breakdown/print.go
@@ -39,7 +39,10 @@
 		s := &r.ByInterval[i]
 		row(table, fmt.Sprintf("known from %d s", i*intervalLength/1000), s.Jobs, s.Seconds)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return r.printWaits(w)
 }
 
 func row(w io.Writer, name string, jobs int, values [causes]float64) {
--- a/ops/breakdown/read.go
+++ b/ops/breakdown/read.go
@@ -36,6 +36,21 @@
 	Occurrence int      `json:"occurrence"`
 	Step       int      `json:"step"`
 	Placements []string `json:"placements"`
+	// These are set in the lines about passed over tasks.
+	Main         string `json:"main"`
+	WorkersOpen  int    `json:"workers_open"`
+	TasksWaiting int    `json:"tasks_waiting"`
+	TasksPaused  int    `json:"tasks_paused"`
+	TasksMoving  int    `json:"tasks_moving"`
+	TasksSuspect int    `json:"tasks_suspect"`
+	// These are set in the lines about the layout; all CPU is in thousandths of a
+	// core.
+	Service  string  `json:"service"`
+	Demand   float64 `json:"demand_cpu"`
+	Room     float64 `json:"room_cpu"`
+	Runnable float64 `json:"runnable_cpu"`
+	Best     float64 `json:"best_cpu"`
+	Running  float64 `json:"running_cpu"`
 	// Kinds counts the lines that a process left out, by message.
 	Kinds map[string]int `json:"kinds"`
 }
