--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -109,6 +109,8 @@
 		if !t.waitExpired(v, j) {
 			v.barPressed(s.spec)
 		}
+	case s.spec.TailTarget > 0 && t.cfg.Policies.Layout.Enabled:
+		t.setLayoutMix(v, j.queue.Service, s)
 	case s.spec.TailTarget > 0:
 		t.setMix(v, s.spec)
 	}
@@ -140,6 +142,9 @@
 			t.updatePressure(v, j, s.spec, n)
 		case s.spec.TailTarget > 0:
 			v.candidates[n].SameImage = true
+			if x := v.mixers[j.queue.Service]; x != nil {
+				x.join(v.workers[n], s.spec.Image)
+			}
 		}
 	}
 }
--- a/entry/scheduler/regroup.go
+++ b/entry/scheduler/regroup.go
@@ -50,6 +50,9 @@
 	t.regroupRounds++
 	v := t.newView()
 	tasks, found, moving := t.servingTasks(v)
+	for i, r := range found {
+		tasks[i].Barred = v.barredFor(r.job, r.step, r.task)
+	}
 	share := fleetScale(len(v.workers))
 	if moving >= regroupAtOnce*share || len(tasks) == 0 {
 		return false
@@ -75,8 +78,8 @@
 	return d
 }
 
-// servingTasks lists the placed serving tasks, and counts the tasks for which
-// capacity is held. tasks and found have the same order.
+// servingTasks lists the placed serving tasks, without their Barred, and counts the
+// tasks for which capacity is held. tasks and found have the same order.
 func (t *Term) servingTasks(v *view) (tasks []pressure.Task, found []taskRef, moving int) {
 	now := time.Now()
 	steps := map[*step]int{}
@@ -99,7 +102,7 @@
 				steps[s] = len(steps)
 			}
 			tasks = append(tasks, pressure.Task{
-				Image: s.spec.Image, Step: steps[s], Worker: w, Need: s.spec.Need, Fixed: !t.mayMove(j, s, k, now), Barred: v.barredFor(j, s, k),
+				Image: s.spec.Image, Step: steps[s], Worker: w, Need: s.spec.Need, Fixed: !t.mayMove(j, s, k, now),
 			})
 			found = append(found, taskRef{id: id, job: j, step: s, task: k})
 		})
@@ -108,24 +111,33 @@
 }
 
 // mayMove reports whether a task may be stopped for a move: it was not moved
-// too often, and all tasks of its step were placed at least regroupAfter ago.
+// too often, and all tasks of its step were placed at least restAfterMove ago.
 // Gangs and tasks that need tickets are not moved, nor tasks of steps that
 // bound their missing tasks: other tasks may be missing for reasons that the
 // scheduler does not see yet.
 func (t *Term) mayMove(j *job, s *step, k *task, now time.Time) bool {
-	if !k.ordered || k.stopping || k.moves >= relocatePerTask || now.Sub(k.placedAt) < regroupAfter || j.queue.Advised || s.spec.Gang ||
+	if !k.ordered || k.stopping || k.moves >= relocatePerTask || now.Sub(k.placedAt) < t.restAfterMove() || j.queue.Advised || s.spec.Gang ||
 		s.spec.MayMiss > 0 {
 		return false
 	}
 	for i := range s.tasks {
 		other := &s.tasks[i]
-		if other != k && (other.state != taskPlaced || other.stopping || now.Sub(other.placedAt) < regroupAfter) {
+		if other != k && (other.state != taskPlaced || other.stopping || now.Sub(other.placedAt) < t.restAfterMove()) {
 			return false
 		}
 	}
 	return true
 }
 
+// restAfterMove is the least time for which all tasks of a serving step stay where
+// they are before one of them is moved.
+func (t *Term) restAfterMove() time.Duration {
+	if t.cfg.Policies.Layout.Enabled {
+		return layoutAfter
+	}
+	return regroupAfter
+}
+
 // barredFor returns the workers that may not take a task even if it fits there.
 func (v *view) barredFor(j *job, s *step, k *task) map[int]bool {
 	barred := map[int]bool{}
