--- a/ops/settings/scheduling_test.go
+++ b/ops/settings/scheduling_test.go
@@ -27,6 +27,8 @@
 		`{"forecast": {"enabled": true}, "admision": {}}`: "admision",
 		`{"admission": {"enabled": true}}`:                "want forecast.enabled too",
 		`{"aging": {"enabled": 1}}`:                       "aging.enabled",
+		`{"diagnosis": {"enable": true}}`:                 "enable",
+		`{"layout": {"enabled": "yes"}}`:                  "layout.enabled",
 	}
 	for text, want := range cases {
 		var p scheduling.Policies
