Agent: set the pace of runs that an earlier process of the agent began

Cause: needsPace sends nothing for a run without a pace of its own unless the pace differs from full. A run that the earlier process had paced down to a tenth stayed there: the new process takes such runs to work at full pace, plans full pace once nothing presses, and finds nothing to send. The worker's listing does not show the pace in force, so nothing else corrects it.

Change: the first pace of an inherited run is sent whatever it is, one order for each such filling run.

--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -269,7 +269,8 @@
 // later, after newer ones, and nothing shows the pace that is in force.
 func (r *Runner) needsPace(x *run, pace int) bool {
 	if x.pacedAt == 0 {
-		return pace != fullPace
+		// An earlier process of the agent may have set the pace of an inherited run.
+		return x.inherited || pace != fullPace
 	}
 	return x.pace != pace || r.deps.Now()-x.pacedAt > paceRepeat
 }
