Decide which runs that hold up their step pay for a move; agents report paces

A run that its worker paces down to nearly nothing holds its whole step: three runs on one worker at paces of 0 to 0.2 kept a job of 22 s for 49 s, and relocate leaves overdue jobs and runs without checkpoints alone.

decide/rebalance weighs, for one step, when its runs end where they are against when they would end in free slots: stop, message, restore, and the work that a task without checkpoints does again. Runs are chosen together, since moving one of three saves nothing; a run moves only if it gains more than a part of the expected run time, which grows with each move of the task.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -309,6 +309,7 @@
 		x.changed = r.recordChange(false)
 	}
 	x.progress = s.Progress
+	r.measureWork(x)
 	x.recordPresent(s.Progress > 0 || s.Rough > 0, r.deps.Now())
 	r.reportProven(inc, x)
 	if !x.slow && x.straggles(r.deps.Now()) {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -89,6 +89,10 @@
 	// ranks is the scheduler's order of the jobs with filling runs here.
 	ranks map[workload.JobID]int
 	base  map[string]float64
+	// reportsWork says that the scheduler asks for the work of filling runs.
+	reportsWork bool
+	// awaited are the filling runs for which the rest of their step waits.
+	awaited map[workload.RunID]bool
 }
 
 // Counters are an agent's counters; all only increase.
@@ -209,6 +213,7 @@
 	// worked is the run's work up to workedAt, as time at full pace.
 	worked   time.Duration
 	workedAt time.Duration
+	work     workMeter
 	// overSince is the time since which the tail of a serving task is over its
 	// target; 0 while it is not.
 	overSince time.Duration
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -106,7 +106,7 @@
 	reply.Sample, r.sample = r.sample, nil
 	for _, x := range inc.runs {
 		if x.changed > since || since == 0 {
-			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason, Slow: x.slow, Proven: x.proven(inc.answeredAt)})
+			reply.Runs = append(reply.Runs, dispatch.RunReport{Run: x.id, State: x.state, Checkpoint: x.checkpoint, Reason: x.reason, Slow: x.slow, Proven: x.proven(inc.answeredAt), Work: r.reportedWork(x)})
 		}
 	}
 	for _, e := range inc.ends {
--- /dev/null
+++ b/decide/rebalance/rebalance.go
@@ -0,0 +1,126 @@
+// Package rebalance decides which runs of a step are stopped so that their tasks
+// continue on other workers: runs that hold up their step, if a move pays.
+package rebalance
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// minPace is the least pace that a run is expected to keep: the load of the
+	// serving tasks beside it changes.
+	minPace = 0.05
+	// gainShare is the part of a task's expected run time that a move must save,
+	// minGain the least such time. Both grow with each move of the task, so that
+	// a task doesn't wander among workers that are equally bad.
+	gainShare = 0.2
+	minGain   = 400 * time.Millisecond
+)
+
+// Run is a task of the step that is not done.
+type Run struct {
+	// Pace is the recent pace of the run, 0 to 1.
+	Pace float64
+	// Left is the remaining work, as time at full pace.
+	Left time.Duration
+	// Lost is the work that a stop throws away, as time at full pace.
+	Lost time.Duration
+	// Moves counts the earlier moves of the task.
+	Moves int
+	// Fixed says that the run must not be stopped.
+	Fixed bool
+}
+
+// Step is a step with tasks that are not done.
+type Step struct {
+	Runs []Run
+	// Expected is the expected run time of a task at full pace.
+	Expected time.Duration
+	// Floor is the time before which the step can't end, whatever is moved.
+	Floor time.Duration
+}
+
+// Slot is capacity for one task on another worker, and the pace that a run can
+// expect there.
+type Slot struct {
+	Pace float64
+}
+
+// Costs are the costs of a move.
+type Costs struct {
+	// Transit is the time from the decision to the start of the next run.
+	Transit time.Duration
+	// Restore is the time that a run needs to resume from a checkpoint.
+	Restore time.Duration
+}
+
+// Move moves a run to a slot; both are indices.
+type Move struct {
+	Run, Slot int
+	// Here and There are the times until the run is expected to end without and
+	// with the move.
+	Here, There time.Duration
+}
+
+// Decide returns the moves that make the step end sooner. The slots are used in
+// their order, first for the runs that would end last.
+//
+// A move of one run alone gains nothing if another run holds up the step as
+// long, so the moves are chosen together: the first n of the runs that would end
+// last, where n gives the earliest end of the step. A run is moved only if the
+// move saves more than its required gain up to that end.
+func Decide(s Step, slots []Slot, c Costs) []Move {
+	order := make([]int, len(s.Runs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return int(s.Runs[b].here() - s.Runs[a].here()) })
+	var tried []Move
+	best, bestEnd := 0, time.Duration(0)
+	moved := s.Floor
+	for n, i := range order {
+		r := &s.Runs[i]
+		here := r.here()
+		if n == 0 {
+			bestEnd = max(here, s.Floor)
+		}
+		if r.Fixed || len(tried) == len(slots) {
+			break
+		}
+		there := r.there(slots[len(tried)], c)
+		if here-there < s.requiredGain(r) {
+			break
+		}
+		tried = append(tried, Move{Run: i, Slot: len(tried), Here: here, There: there})
+		moved = max(moved, there)
+		end := moved
+		if n+1 < len(order) {
+			end = max(end, s.Runs[order[n+1]].here())
+		}
+		if end < bestEnd {
+			best, bestEnd = len(tried), end
+		}
+	}
+	return slices.DeleteFunc(tried[:best], func(m Move) bool {
+		return m.Here-bestEnd < s.requiredGain(&s.Runs[m.Run])
+	})
+}
+
+// here is the time until the run ends where it is.
+func (r *Run) here() time.Duration { return atPace(r.Left, r.Pace) }
+
+// there is the time until the task ends if it continues in the slot.
+func (r *Run) there(s Slot, c Costs) time.Duration {
+	return c.Transit + c.Restore + atPace(r.Left+r.Lost, s.Pace)
+}
+
+// requiredGain is the time that a move of r must save.
+func (s *Step) requiredGain(r *Run) time.Duration {
+	gain := max(minGain, time.Duration(gainShare*float64(s.Expected)))
+	return gain * time.Duration(1+r.Moves)
+}
+
+func atPace(work time.Duration, pace float64) time.Duration {
+	return time.Duration(float64(work) / max(minPace, pace))
+}
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -106,6 +106,12 @@
 	// Order lists the jobs with filling runs on the worker in the scheduler's
 	// order, if the order has changed.
 	Order []workload.JobID
+	// Work requests RunReport.Work.
+	Work bool
+	// Awaited lists the filling runs on the worker for which the rest of their step
+	// waits, if the list has changed and AwaitedSet is set.
+	Awaited    []workload.RunID
+	AwaitedSet bool
 }
 
 // PairWeight is how strongly a filling image slows a serving one.
@@ -202,6 +208,18 @@
 	// Proven says that the run has not crashed its worker: the worker still
 	// answered some time after the run's start.
 	Proven bool
+	// Work is set for a filling run, if WatchArgs.Work requests it.
+	Work *RunWork
+}
+
+// RunWork is how a filling run gets on. It is reported when the pace has changed
+// noticeably.
+type RunWork struct {
+	// Pace is the mean pace over the last second or two, 0 to 1.
+	Pace float64
+	// Worked is the work so far, and Left the remaining work, as time at full pace.
+	// Left is 0 while it is unknown; Worked then lacks what a checkpoint holds.
+	Worked, Left time.Duration
 }
 
 // NoteArgs notifies the scheduler of a job that was stored or cancelled.
