Move filling runs that hold up their step (policy rebalancing, off)

The scheduler keeps the reported paces of filling runs; off, it asks for none. Every 0.3 s, after it has placed all it can, it gives each step with a run below a pace of 0.7 to decide/rebalance, with the free slots on workers that pace nothing down and on which the step is not known to press. Overdue jobs, tasks moved before and tasks without checkpoints are included; tasks that may crash workers, gangs and runs of agents that don't answer are not. Capacity is held for the moved task, now also for filling work, for at most four seconds; if its worker is lost, the task is placed as any other.

--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -18,6 +18,9 @@
 	// slowly. Suspected counts how often a worker became suspect because runs of
 	// several jobs failed there.
 	Placements, Ends, Void, Lost, Relocated, Regrouped, Rescued, Suspected atomic.Int64
+	// Rebalanced counts the runs stopped because they held up their step, Restarted
+	// those of them without a checkpoint, whose tasks begin anew.
+	Rebalanced, Restarted atomic.Int64
 	// Blamed counts how often a task may have crashed a worker, Quarantined the
 	// runs placed in quarantine, GivenUp the jobs failed for crashing workers.
 	Blamed, Quarantined, GivenUp atomic.Int64
@@ -58,6 +61,7 @@
 	return map[string]any{
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
+		"rebalanced": c.Rebalanced.Load(), "restarted": c.Restarted.Load(),
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
 		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -46,7 +46,11 @@
 // hold holds capacity on w for the next run of a task.
 func (w *worker) hold(r taskRef, now time.Time) {
 	r.task.pin, r.task.pinUntil, r.task.moving = w.id, now.Add(pinFor), false
-	w.held[r.id] = heldCapacity{need: r.step.spec.Reserved(), job: r.job, task: r.task}
+	h := heldCapacity{need: r.step.spec.Reserved(), job: r.job, task: r.task}
+	if r.step.spec.Fills {
+		h.fill = r.step.spec.Need.CPU
+	}
+	w.held[r.id] = h
 }
 
 // unpin releases the capacity that is held for a task, if any.
@@ -55,6 +59,9 @@
 		if h, ok := v.workers[n].held[id]; ok {
 			delete(v.workers[n].held, id)
 			v.candidates[n].Free = v.candidates[n].Free.Add(h.need)
+			if h.fill > 0 && h.holdsFill(time.Now()) {
+				v.candidates[n].FillLoad -= h.fill
+			}
 		}
 	}
 	k.pin = ""
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -43,6 +43,10 @@
 	worked time.Duration
 	// moves counts the moves of the task by relocate, regroup and drains.
 	moves int
+	// work is how the placed filling run gets on; rebalanced counts the moves of the
+	// task by rebalance.
+	work       runWork
+	rebalanced int
 	// slow says that the run progresses far slower than estimated; rescues counts
 	// how often the task was moved off a worker for this reason.
 	slow    bool
@@ -210,6 +214,7 @@
 	t.agent, t.worker = "", ""
 	t.stopping, t.ordered, t.slow = false, false, false
 	t.presentAt = 0
+	t.work = runWork{}
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
@@ -219,7 +224,7 @@
 // finish marks a placed task as done, and completes the job with its last task.
 func (j *job) finish(s *step, t *task) {
 	t.state = taskDone
-	t.agent, t.worker, t.checkpoint = "", "", ""
+	t.agent, t.worker, t.checkpoint, t.pin = "", "", "", ""
 	t.stopping, t.ordered = false, false
 	s.done++
 	j.dropComplete()
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -130,7 +130,7 @@
 }
 
 func (l *agentLink) watchArgs(wait time.Duration) dispatch.WatchArgs {
-	args := dispatch.WatchArgs{Claim: l.claim(), Since: l.since, Wait: wait}
+	args := dispatch.WatchArgs{Claim: l.claim(), Since: l.since, Wait: wait, Work: l.term.cfg.Policies.Rebalancing.Enabled}
 	if l.worker != nil {
 		args.Worker = l.worker.id
 		args.Seen = l.worker.endsStored
@@ -248,6 +248,7 @@
 	l.since = 0
 	l.stopping = false
 	l.sentPressure, l.sentOrder = pressureUpdate{}, nil
+	l.forgetWork()
 	l.repeatOrders()
 }
 
@@ -350,6 +351,9 @@
 	if r.State == dispatch.RunPresent && k.presentAt == 0 {
 		k.presentAt = t.deps.Now()
 	}
+	if r.Work != nil {
+		k.work = runWork{known: true, at: t.deps.Now(), pace: r.Work.Pace, worked: r.Work.Worked, left: r.Work.Left}
+	}
 	if r.Proven && k.crashes > 0 {
 		t.deps.Log.Info().Stringer("run", r.Run).Str("worker", string(w.id)).Int("crashes", k.crashes).Msg("run has not crashed its worker")
 		t.clearCrashes(j, k)
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -31,6 +31,7 @@
 		}
 	}
 	t.relocate(v)
+	t.rebalance(v)
 }
 
 // refresh updates the list of active jobs, their queues and their order.
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -34,6 +34,8 @@
 	StatusFor time.Duration
 	// Policies are the scheduling policies in force.
 	Policies scheduling.Policies
+	// MoveCosts are what a move of a run costs.
+	MoveCosts MoveCosts
 }
 
 // Deps are the scheduler's dependencies.
@@ -108,6 +110,8 @@
 	regroupRounds int
 	// lastRelocate is when filling runs were last checked.
 	lastRelocate time.Duration
+	// lastRebalance is when runs that hold up their step were last checked.
+	lastRebalance time.Duration
 	// retired are jobs whose rows are deleted except for their progress.
 	retired []workload.JobID
 	// earlyCancels holds cancellations of jobs that are not known yet.
--- a/entry/scheduler/worker.go
+++ b/entry/scheduler/worker.go
@@ -62,6 +62,8 @@
 // ends.
 type heldCapacity struct {
 	need workload.Resources
+	// fill is the CPU of a filling task, which holds it until its pinUntil.
+	fill int
 	job  *job
 	task *task
 }
@@ -148,7 +150,7 @@
 // candidate returns the worker as the placement sees it.
 func (w *worker) candidate(service string, now time.Duration) placement.Candidate {
 	return placement.Candidate{
-		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{})), FillLoad: w.fillLoad, Serving: w.serving,
+		Capacity: w.info.Capacity, Free: w.info.Capacity.Sub(w.used).Sub(w.heldForOthers(workload.TaskID{})), FillLoad: w.fillLoad + w.heldFill(), Serving: w.serving,
 		Rack: rackOf(w.info.Labels), Labels: w.info.Labels, Suspect: w.health.suspect(now), Slow: now < w.slowUntil,
 		Barred: !w.accepts(service) || w.quarantine != nil,
 	}
