Pace the last runs of a step first (policy rebalancing, off)

What a worker can bear of filling work goes to its jobs by rank: least work first, overdue jobs last. The last run of a large job then stands still beside the many runs of smaller ones, though the work of its whole step waits for it.

With the policy, a job comes first among those of its priority at a worker where it has a run of a step that waits for its last runs: others done, none waiting, a fifth of the tasks or one left. The order is the one that agents are sent already when it changes; no message is new. Ranks by run were ruled out: they differ from ranks by job only where two steps of one job share a worker, and agents would need a second list. The fields prepared for that list go again.

Not measured yet.

--- a/agent/runner/pace.go
+++ b/agent/runner/pace.go
@@ -343,7 +343,7 @@
 // pressure weights and base tails that the scheduler has learnt.
 func (r *Runner) applyUpdate(args *dispatch.WatchArgs) {
 	r.sampleInterval, r.unknownInterval = args.SampleEvery, args.SampleUnknown
-	r.applyWorkRequest(args)
+	r.reportsWork = args.Work
 	if len(args.Order) > 0 {
 		r.ranks = make(map[workload.JobID]int, len(args.Order))
 		for rank, id := range args.Order {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -91,8 +91,6 @@
 	base  map[string]float64
 	// reportsWork says that the scheduler asks for the work of filling runs.
 	reportsWork bool
-	// awaited are the filling runs for which the rest of their step waits.
-	awaited map[workload.RunID]bool
 }
 
 // Counters are an agent's counters; all only increase.
--- a/agent/runner/work.go
+++ b/agent/runner/work.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -32,18 +31,6 @@
 	reported *dispatch.RunWork
 }
 
-// applyWorkRequest applies what the scheduler asks about filling runs.
-func (r *Runner) applyWorkRequest(args *dispatch.WatchArgs) {
-	r.reportsWork = args.Work
-	if !args.AwaitedSet {
-		return
-	}
-	r.awaited = make(map[workload.RunID]bool, len(args.Awaited))
-	for _, id := range args.Awaited {
-		r.awaited[id] = true
-	}
-}
-
 // measureWork updates the mean pace of a filling run after a listing, and
 // reports it with the next answer if it has changed noticeably.
 func (r *Runner) measureWork(x *run) {
--- a/entry/scheduler/fillorder_test.go
+++ b/entry/scheduler/fillorder_test.go
@@ -55,3 +55,25 @@
 		t.Errorf("a new process of the agent is sent %v, want %v", got, second)
 	}
 }
+
+// Load: a worker has the last run of a large job's step and runs of a smaller job's
+// step that has just begun. What the worker can bear goes to the run that the rest
+// of its step waits for; without the policy, and across priorities, it does not.
+func TestLastRunsOfAStepComeFirst(t *testing.T) {
+	term, w := fillTerm(map[workload.JobID]order.Key{"large": {Class: order.Late, Work: 90}, "small": {Work: 10}, "urgent": {Priority: -1, Work: 80}})
+	for id, j := range term.jobs {
+		s := &step{spec: &workload.Step{Fills: true}, tasks: make([]task, 11), done: 2}
+		if id == "large" {
+			s.done = 10
+		}
+		s.tasks[0] = task{state: taskPlaced, run: 1, worker: w.id}
+		j.occurrences = []*occurrence{{steps: []*step{s}}}
+	}
+	if got := term.fillOrder(w); !slices.Equal(got, []workload.JobID{"urgent", "small", "large"}) {
+		t.Errorf("order %v without the policy", got)
+	}
+	term.cfg.Policies.Rebalancing.Enabled = true
+	if got := term.fillOrder(w); !slices.Equal(got, []workload.JobID{"urgent", "large", "small"}) {
+		t.Errorf("order %v, want the last run before the others of its priority", got)
+	}
+}
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -108,10 +108,6 @@
 	Order []workload.JobID
 	// Work requests RunReport.Work.
 	Work bool
-	// Awaited lists the filling runs on the worker for which the rest of their step
-	// waits, if the list has changed and AwaitedSet is set.
-	Awaited    []workload.RunID
-	AwaitedSet bool
 }
 
 // PairWeight is how strongly a filling image slows a serving one.
