Rebalancing: move as many runs as there are slots, also where they are borne

All runs that hold up a step had to move together, and slots come one or two at a time; and the step presses on most serving images, so that no harmless slot was left.

Change: the runs that hold up a step are found as if there were slots for all, then those move for which there are slots, the last to end first; the others are paced down less once they are gone.

Not measured yet.

--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -88,7 +88,7 @@
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !fits(r.Step, w) || r.ExcludeAvoid && i == r.Avoid {
+		if !Fits(r.Step, w) || r.ExcludeAvoid && i == r.Avoid {
 			continue
 		}
 		s := score(r, i, w)
@@ -99,7 +99,8 @@
 	return best
 }
 
-func fits(s *workload.Step, w *Candidate) bool {
+// Fits reports whether a task of the step may be placed on the worker.
+func Fits(s *workload.Step, w *Candidate) bool {
 	if w.Barred || w.LastingOnly && !s.Lasting || !s.Reserved().Fits(w.Free) || !CouldTake(s, w) {
 		return false
 	}
--- a/decide/rebalance/rebalance.go
+++ b/decide/rebalance/rebalance.go
@@ -3,6 +3,7 @@
 package rebalance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -66,45 +67,57 @@
 // Decide returns the moves that make the step end sooner. The slots are used in
 // their order, first for the runs that would end last.
 //
-// A move of one run alone gains nothing if another run holds up the step as
-// long, so the moves are chosen together: the first n of the runs that would end
-// last, where n gives the earliest end of the step. A run is moved only if the
-// move saves more than its required gain up to that end.
+// A move of one run alone gains nothing if another run holds up the step as long.
+// So Holding first finds the runs that would be moved together if there were
+// slots for all. Those of them that gain enough in a slot move; the others follow
+// once there are more slots, and are paced down less by then, since the moved runs
+// no longer compete with them.
 func Decide(s Step, slots []Slot, c Costs) []Move {
+	holding, end := Holding(s, c)
+	var moves []Move
+	for _, i := range holding {
+		if len(moves) == len(slots) {
+			break
+		}
+		r := &s.Runs[i]
+		here, there := r.here(), r.there(slots[len(moves)], c)
+		if here-max(there, end) >= s.requiredGain(r) {
+			moves = append(moves, Move{Run: i, Slot: len(moves), Here: here, There: there})
+		}
+	}
+	return moves
+}
+
+// Holding returns the runs that hold up the step, the last to end first, and the
+// time until the step could end if all of them continued at full pace elsewhere.
+// They are the first n of the runs that would end last, where n gives the earliest
+// end of the step.
+func Holding(s Step, c Costs) (holding []int, end time.Duration) {
 	order := make([]int, len(s.Runs))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return int(s.Runs[b].here() - s.Runs[a].here()) })
-	var tried []Move
-	best, bestEnd := 0, time.Duration(0)
-	moved := s.Floor
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.Runs[b].here(), s.Runs[a].here()) })
+	best, moved := 0, s.Floor
 	for n, i := range order {
 		r := &s.Runs[i]
-		here := r.here()
 		if n == 0 {
-			bestEnd = max(here, s.Floor)
-		}
-		if r.Fixed || len(tried) == len(slots) {
-			break
+			end = max(r.here(), s.Floor)
 		}
-		there := r.there(slots[len(tried)], c)
-		if here-there < s.requiredGain(r) {
+		there := r.there(Slot{Pace: 1}, c)
+		if r.Fixed || r.here()-there < s.requiredGain(r) {
 			break
 		}
-		tried = append(tried, Move{Run: i, Slot: len(tried), Here: here, There: there})
 		moved = max(moved, there)
-		end := moved
+		after := moved
 		if n+1 < len(order) {
-			end = max(end, s.Runs[order[n+1]].here())
+			after = max(after, s.Runs[order[n+1]].here())
 		}
-		if end < bestEnd {
-			best, bestEnd = len(tried), end
+		if after < end {
+			best, end = n+1, after
 		}
 	}
-	return slices.DeleteFunc(tried[:best], func(m Move) bool {
-		return m.Here-bestEnd < s.requiredGain(&s.Runs[m.Run])
-	})
+	return order[:best], end
 }
 
 // here is the time until the run ends where it is.
--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -78,7 +78,7 @@
 		}
 		id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
 		n := v.index(k.pin)
-		if n < 0 || v.candidates[n].Barred || s.spec.Spread > 0 && v.candidates[n].OfStep >= s.spec.Spread {
+		if n < 0 || v.barsPinned(n, s.spec) || s.spec.Spread > 0 && v.candidates[n].OfStep >= s.spec.Spread {
 			v.unpin(id, k)
 			continue
 		}
--- a/entry/scheduler/rebalance.go
+++ b/entry/scheduler/rebalance.go
@@ -1,11 +1,8 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"persimmonrock.example/decide/placement"
 	"persimmonrock.example/decide/rebalance"
 	"persimmonrock.example/structs/workload"
 )
@@ -150,12 +147,11 @@
 	if s.spec.Checkpointing {
 		costs.Restore = t.cfg.MoveCosts.Restore
 	}
-	// With the best possible slots, no more runs are moved than with the real ones.
-	wanted := rebalance.Decide(state, bestSlots(len(tasks)), costs)
-	if len(wanted) == 0 {
+	holding, _ := rebalance.Holding(state, costs)
+	if len(holding) == 0 {
 		return 0
 	}
-	slots, at := t.freeSlots(v, s, len(wanted), paces)
+	slots, at := t.freeSlots(v, s, len(holding), paces)
 	moves := rebalance.Decide(state, slots, costs)
 	for _, m := range moves {
 		i := tasks[m.Run]
@@ -165,14 +161,6 @@
 	return len(moves)
 }
 
-func bestSlots(n int) []rebalance.Slot {
-	slots := make([]rebalance.Slot, n)
-	for i := range slots {
-		slots[i].Pace = 1
-	}
-	return slots
-}
-
 // stepState returns the step for rebalance.Decide, and the index of the task of
 // each of its runs.
 func (t *Term) stepState(v *view, j *job, si int, s *step) (rebalance.Step, []int) {
@@ -211,52 +199,6 @@
 	return l != nil && !l.unresponsive
 }
 
-// freeSlots returns up to n slots for tasks of the step, the ones with the best
-// pace first, and the candidate of each. Workers that pace runs of the step down
-// have none.
-func (t *Term) freeSlots(v *view, s *step, n int, paces []float64) (slots []rebalance.Slot, at []int) {
-	v.countStep(s)
-	t.setPressure(v, s.spec)
-	v.barPressed(s.spec)
-	defer v.liftBars()
-	for i := range v.candidates {
-		if c := &v.candidates[i]; !c.Barred && paces[i] < slowPace {
-			c.Barred = true
-			v.barred = append(v.barred, i)
-		}
-	}
-	v.barOrigins(s)
-	before := append([]placement.Candidate(nil), v.candidates...)
-	for range n {
-		i := placement.Choose(placement.Request{Step: s.spec, Avoid: -1}, v.candidates)
-		if i < 0 || v.candidates[i].Presses {
-			break
-		}
-		v.reserve(i, s.spec)
-		at = append(at, i)
-	}
-	copy(v.candidates, before)
-	slices.SortStableFunc(at, func(a, b int) int { return cmp.Compare(paces[b], paces[a]) })
-	for _, i := range at {
-		slots = append(slots, rebalance.Slot{Pace: paces[i]})
-	}
-	return slots, at
-}
-
-// barOrigins bars the workers that pace runs of the step down.
-func (v *view) barOrigins(s *step) {
-	for i := range s.tasks {
-		k := &s.tasks[i]
-		if k.state != taskPlaced || k.work.meanPace() >= slowPace {
-			continue
-		}
-		if n := v.index(k.worker); n >= 0 && !v.candidates[n].Barred {
-			v.candidates[n].Barred = true
-			v.barred = append(v.barred, n)
-		}
-	}
-}
-
 // moveRun stops a run and holds capacity for its task on candidate n. If that
 // worker is lost meanwhile, the task is placed as any other.
 func (t *Term) moveRun(v *view, m taskRef, n int, why rebalance.Move) {
@@ -276,6 +218,16 @@
 	t.stop(m.id, k)
 }
 
+// barsPinned reports whether a task for which capacity is held on candidate n may
+// not be placed there. A moved filling task may press on serving tasks, at the pace
+// that these bear.
+func (v *view) barsPinned(n int, s *workload.Step) bool {
+	if !s.Fills {
+		return v.candidates[n].Barred
+	}
+	return !v.workers[n].accepts(v.service) || v.workers[n].quarantine != nil
+}
+
 // heldFill is the CPU held here for filling tasks that are being moved here.
 func (w *worker) heldFill() int {
 	if len(w.held) == 0 {
--- a/entry/scheduler/rebalance_test.go
+++ b/entry/scheduler/rebalance_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"persimmonrock.example/decide/pressure"
 	"persimmonrock.example/structs/scheduling"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
@@ -182,3 +183,30 @@
 		t.Errorf("%d runs stopped though no worker is better", n)
 	}
 }
+
+// Load: the step presses on the serving tasks of every other worker. While these
+// have little load of their own, moved runs get nearly full pace there, ten times
+// what they have; near their targets nothing moves.
+func TestRunsMoveBesideServingTasksThatBearThem(t *testing.T) {
+	for load, want := range map[float64]int{0.2: 3, 0.68: 0} {
+		term, _, now := heldUpTerm(true)
+		for range 40 {
+			term.learner.model.Observe(pressure.Sample{Serving: "a", Load: 0.2, Used: map[string]float64{"f": 0.2}, Count: 3})
+		}
+		term.learner.model.Solve(0)
+		if w := term.learner.model.Weight(pressure.Pair{Serving: "a", Filling: "f"}); !w.Known || w.Value < 0.5 {
+			t.Fatalf("the pair has the weight %+v", w)
+		}
+		term.learner.baseTails["a"] = 4
+		term.learner.ownLoads["serving"] = ownLoad{load: load, at: *now}
+		serving := &workload.Step{Need: workload.Resources{CPU: 3000}, Lasting: true, TailTarget: 18 * time.Millisecond, Image: "a"}
+		for i := range 6 {
+			w := term.workers[workload.WorkerID(fmt.Sprintf("w-%d", i))]
+			w.add(workload.RunID{Task: workload.TaskID{Job: "serving", Index: i}, Run: 1}, serving)
+		}
+		term.plan()
+		if got := stops(term); got != want {
+			t.Errorf("%d runs stopped beside serving tasks with a load of %v, want %d", got, load, want)
+		}
+	}
+}
