Rebalancing: a pace is expected to regain a part of what it lacks

Cause: the end of a run where it is was counted at its present pace.

Change: a pace p counts as p + 0.15 (1 - p), here and there, in place of the floor of 0.05.

--- a/decide/rebalance/rebalance.go
+++ b/decide/rebalance/rebalance.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// minPace is the least pace that a run is expected to keep: the load of the
-	// serving tasks beside it changes.
-	minPace = 0.05
+	// regained is the part of the pace that a run lacks now which it is expected to
+	// have on average until its end: the load of the serving tasks beside it changes
+	// within seconds. A pace of 0 becomes regained, full pace stays.
+	regained = 0.15
 	// gainShare is the part of a task's expected run time that a move must save,
 	// minGain the least such time. Both grow with each move of the task, so that
 	// a task doesn't wander among workers that are equally bad.
@@ -134,6 +135,7 @@
 	return gain * time.Duration(1+r.Moves)
 }
 
+// atPace is the time that the work takes if the pace is the given one now.
 func atPace(work time.Duration, pace float64) time.Duration {
-	return time.Duration(float64(work) / max(minPace, pace))
+	return time.Duration(float64(work) / (pace + regained*(1-pace)))
 }
