Rebalancing: look for borne slots once per check, and only if harmless ones lack

A check looked at each worker's serving runs and weights for each step with a slow run, whether harmless slots were enough or not. On 1,000 workers that is some thousand look-ups a step. The spare loads are now computed once per check, when a step first needs them.

--- a/entry/scheduler/moveslots.go
+++ b/entry/scheduler/moveslots.go
@@ -22,43 +22,96 @@
 	pace float64
 }
 
-// freeSlots returns up to n slots for tasks of the step, the ones with the best
-// pace first, and the candidate of each. Workers that pace runs of the step down
-// have none. Slots where the step presses are only used if there are too few
-// others.
-func (t *Term) freeSlots(v *view, s *step, n int, paces []float64) (slots []rebalance.Slot, at []int) {
+// slotFinder finds slots for moved runs during one check.
+type slotFinder struct {
+	term *Term
+	v    *view
+	// paces is the mean pace of the filling runs on each worker of v.
+	paces []float64
+	// spare is the load that the serving images of each worker bear besides the
+	// filling work there, computed when first needed.
+	spare [][]spareLoad
+}
+
+// spareLoad is the load that the tasks of a serving image bear on one worker.
+type spareLoad struct {
+	image string
+	load  float64
+}
+
+// find returns up to n slots for tasks of the step, the ones with the best pace
+// first, and the candidate of each. Workers that pace runs of the step down have
+// none. Slots where the step presses are only used if there are too few others.
+func (f *slotFinder) find(s *step, n int) (slots []rebalance.Slot, at []int) {
+	v := f.v
 	v.countStep(s)
-	t.setPressure(v, s.spec)
+	f.term.setPressure(v, s.spec)
 	defer v.liftBars()
 	for i := range v.candidates {
-		if c := &v.candidates[i]; !c.Barred && paces[i] < slowPace {
-			c.Barred = true
-			v.barred = append(v.barred, i)
+		if f.paces[i] < slowPace {
+			v.bar(i)
 		}
 	}
 	v.barOrigins(s)
-	found := t.pressingSlots(v, s, paces)
-	v.barPressed(s.spec)
+	found := f.harmless(s, n)
+	if len(found) < n {
+		found = append(found, f.pressing(s, n-len(found))...)
+	}
+	sortSlots(found)
+	for _, x := range found {
+		slots = append(slots, rebalance.Slot{Pace: x.pace})
+		at = append(at, x.at)
+	}
+	return slots, at
+}
+
+// harmless returns up to n slots on workers where the step is not known to press.
+func (f *slotFinder) harmless(s *step, n int) (list []moveSlot) {
+	v := f.v
 	before := append([]placement.Candidate(nil), v.candidates...)
-	var harmless []moveSlot
+	defer copy(v.candidates, before)
+	for i := range v.candidates {
+		v.candidates[i].Barred = v.candidates[i].Barred || v.candidates[i].Presses
+	}
 	for range n {
 		i := placement.Choose(placement.Request{Step: s.spec, Avoid: -1}, v.candidates)
-		if i < 0 || v.candidates[i].Presses {
+		if i < 0 {
 			break
 		}
 		v.reserve(i, s.spec)
-		harmless = append(harmless, moveSlot{i, paces[i]})
+		list = append(list, moveSlot{i, f.paces[i]})
 	}
-	copy(v.candidates, before)
-	sortSlots(found)
-	found = append(harmless, found...)
-	found = found[:min(n, len(found))]
-	sortSlots(found)
-	for _, x := range found {
-		slots = append(slots, rebalance.Slot{Pace: x.pace})
-		at = append(at, x.at)
+	return list
+}
+
+// pressing returns up to n slots, one on a worker, where the step presses, but the
+// serving tasks bear a task of it at minSlotPace or more.
+func (f *slotFinder) pressing(s *step, n int) (list []moveSlot) {
+	if f.spare == nil {
+		f.spare = make([][]spareLoad, len(f.v.workers))
+		for i, w := range f.v.workers {
+			f.spare[i] = f.term.learner.spareLoads(w, f.v.now)
+		}
+	}
+	for i, w := range f.v.workers {
+		c := &f.v.candidates[i]
+		if !c.Presses || !placement.Fits(s.spec, c) {
+			continue
+		}
+		if pace := min(f.paces[i], f.term.learner.bearablePace(w, f.spare[i], s.spec)); pace >= minSlotPace {
+			list = append(list, moveSlot{i, pace})
+		}
+	}
+	sortSlots(list)
+	return list[:min(n, len(list))]
+}
+
+// bar bars candidate i until liftBars.
+func (v *view) bar(i int) {
+	if !v.candidates[i].Barred {
+		v.candidates[i].Barred = true
+		v.barred = append(v.barred, i)
 	}
-	return slots, at
 }
 
 func sortSlots(list []moveSlot) {
@@ -72,56 +125,48 @@
 		if k.state != taskPlaced || k.work.meanPace() >= slowPace {
 			continue
 		}
-		if n := v.index(k.worker); n >= 0 && !v.candidates[n].Barred {
-			v.candidates[n].Barred = true
-			v.barred = append(v.barred, n)
+		if n := v.index(k.worker); n >= 0 {
+			v.bar(n)
 		}
 	}
 }
 
-// pressingSlots returns one slot on each worker where the step presses, but whose
-// serving tasks bear a task of it at minSlotPace or more.
-func (t *Term) pressingSlots(v *view, s *step, paces []float64) []moveSlot {
-	var list []moveSlot
-	for i, w := range v.workers {
-		c := &v.candidates[i]
-		if !c.Presses || !placement.Fits(s.spec, c) {
+// bearableFraction is the share of their targets up to which moved runs may raise
+// the tails of serving tasks: agents keep them below 0.85, and loads change while a
+// task moves.
+const bearableFraction = 0.75
+
+// spareLoads returns the load that each serving image of w bears besides the
+// filling work there, up to bearableFraction of its target. It is 0 if the own
+// load of its tasks is not known.
+func (l *learner) spareLoads(w *worker, now time.Duration) []spareLoad {
+	var list []spareLoad
+	for r, v := range w.runs {
+		if !v.serves {
 			continue
 		}
-		if pace := min(paces[i], t.learner.bearablePace(w, s.spec, v.now)); pace >= minSlotPace {
-			list = append(list, moveSlot{i, pace})
+		spare := 0.0
+		if base, o := l.baseTails[v.image], l.ownLoads[r.Task.Job]; base > 0 && now-o.at <= ownLoadMaxAge {
+			// Tails are in milliseconds.
+			spare = 1 - base/(bearableFraction*1000*v.target.Seconds()) - o.load
+			for image, cpu := range w.fills {
+				spare -= l.model.Weight(pressure.Pair{Serving: v.image, Filling: image}).Value * float64(cpu) / float64(w.info.Capacity.CPU)
+			}
 		}
+		list = append(list, spareLoad{image: v.image, load: max(0, spare)})
 	}
 	return list
 }
 
-// bearablePace is the pace at which the serving tasks of w bear one more task of s
-// beside the filling work that is there: the task then takes none of them above
-// bearableFraction of its target. It is 0 if the load of one of them is not known.
-func (l *learner) bearablePace(w *worker, s *workload.Step, now time.Duration) float64 {
-	whole := float64(w.info.Capacity.CPU)
+// bearablePace is the pace at which the serving tasks of w, with the given spare
+// loads, bear one more task of s.
+func (l *learner) bearablePace(w *worker, spare []spareLoad, s *workload.Step) float64 {
 	pace := 1.0
-	for r, v := range w.runs {
-		if !v.serves {
-			continue
-		}
-		base, o := l.baseTails[v.image], l.ownLoads[r.Task.Job]
-		if base <= 0 || now-o.at > ownLoadMaxAge {
-			return 0
-		}
-		// Tails are in milliseconds.
-		spare := 1 - base/(bearableFraction*1000*v.target.Seconds()) - o.load
-		for image, cpu := range w.fills {
-			spare -= l.model.Weight(pressure.Pair{Serving: v.image, Filling: image}).Value * float64(cpu) / whole
-		}
-		if load := l.model.Weight(pressure.Pair{Serving: v.image, Filling: s.Image}).Value * float64(s.Need.CPU) / whole; load > 0 {
-			pace = min(pace, max(0, spare)/load)
+	for _, x := range spare {
+		weight := l.model.Weight(pressure.Pair{Serving: x.image, Filling: s.Image}).Value
+		if load := weight * float64(s.Need.CPU) / float64(w.info.Capacity.CPU); load > 0 {
+			pace = min(pace, x.load/load)
 		}
 	}
 	return pace
 }
-
-// bearableFraction is the share of their targets up to which moved runs may raise
-// the tails of serving tasks: agents keep them below 0.85, and loads change while a
-// task moves.
-const bearableFraction = 0.75
--- a/entry/scheduler/rebalance.go
+++ b/entry/scheduler/rebalance.go
@@ -84,7 +84,7 @@
 	}
 	t.lastRebalance = v.now
 	left := rebalancePerPlan * fleetScale(len(v.workers))
-	var paces []float64
+	var slots *slotFinder
 	for _, j := range t.active {
 		if j.state.Final() || j.queue.Advised {
 			continue
@@ -94,11 +94,11 @@
 				if !s.spec.Fills || s.spec.Gang || !s.paceHoldsUp() {
 					continue
 				}
-				if paces == nil {
-					paces = t.workerPaces(v)
+				if slots == nil {
+					slots = &slotFinder{term: t, v: v, paces: t.workerPaces(v)}
 				}
 				v.setService(j.queue.Service)
-				left -= t.rebalanceStep(v, j, o, si, paces)
+				left -= t.rebalanceStep(slots, j, o, si)
 				if left <= 0 {
 					return
 				}
@@ -140,8 +140,8 @@
 }
 
 // rebalanceStep moves the runs that hold up a step and returns their number.
-func (t *Term) rebalanceStep(v *view, j *job, o *occurrence, si int, paces []float64) int {
-	s := o.steps[si]
+func (t *Term) rebalanceStep(f *slotFinder, j *job, o *occurrence, si int) int {
+	v, s := f.v, o.steps[si]
 	state, tasks := t.stepState(v, j, si, s)
 	costs := rebalance.Costs{Transit: t.cfg.MoveCosts.Stop + moveLatency}
 	if s.spec.Checkpointing {
@@ -151,7 +151,7 @@
 	if len(holding) == 0 {
 		return 0
 	}
-	slots, at := t.freeSlots(v, s, len(holding), paces)
+	slots, at := f.find(s, len(holding))
 	moves := rebalance.Decide(state, slots, costs)
 	for _, m := range moves {
 		i := tasks[m.Run]
