Rebalancing: a move to where the run presses must gain three times as much

Half of the moves gained under 2.5 s, many of them to slots where the run presses.

Change: such a slot is used for three times the gain, after all harmless ones. Not measured yet.

--- a/decide/rebalance/rebalance.go
+++ b/decide/rebalance/rebalance.go
@@ -18,6 +18,9 @@
 	// a task doesn't wander among workers that are equally bad.
 	gainShare = 0.2
 	minGain   = 400 * time.Millisecond
+	// harmFactor is the factor on the required gain of a move to a slot where the
+	// task presses on others: it costs them room for changes of their load.
+	harmFactor = 3
 )
 
 // Run is a task of the step that is not done.
@@ -47,6 +50,9 @@
 // expect there.
 type Slot struct {
 	Pace float64
+	// Presses says that the task is known to slow serving tasks beside the slot. A
+	// move there must gain harmFactor times as much.
+	Presses bool
 }
 
 // Costs are the costs of a move.
@@ -80,9 +86,13 @@
 		if len(moves) == len(slots) {
 			break
 		}
-		r := &s.Runs[i]
-		here, there := r.here(), r.there(slots[len(moves)], c)
-		if here-max(there, end) >= s.requiredGain(r) {
+		r, slot := &s.Runs[i], slots[len(moves)]
+		here, there := r.here(), r.there(slot, c)
+		required := s.requiredGain(r)
+		if slot.Presses {
+			required *= harmFactor
+		}
+		if here-max(there, end) >= required {
 			moves = append(moves, Move{Run: i, Slot: len(moves), Here: here, There: there})
 		}
 	}
--- a/decide/rebalance/rebalance_test.go
+++ b/decide/rebalance/rebalance_test.go
@@ -140,3 +140,16 @@
 		t.Error("no move though the run would take over 6 s")
 	}
 }
+
+// A run moves to where it presses on serving tasks only for a large gain.
+func TestSlotsWhereTheRunPressesMustGainMore(t *testing.T) {
+	presses := []Slot{{Pace: 1, Presses: true}}
+	s := Step{Expected: 2300 * time.Millisecond, Runs: []Run{{Pace: 0.3, Left: 1500 * time.Millisecond}}}
+	if len(Decide(s, presses, costs)) != 0 {
+		t.Error("a move for a gain of a second")
+	}
+	s.Runs[0].Pace = 0.1
+	if len(Decide(s, presses, costs)) != 1 {
+		t.Error("no move for a gain of nearly 4 s")
+	}
+}
--- a/entry/scheduler/moveslots.go
+++ b/entry/scheduler/moveslots.go
@@ -18,8 +18,9 @@
 // moveSlot is capacity for one task on the candidate at, with the pace that the
 // task can expect there.
 type moveSlot struct {
-	at   int
-	pace float64
+	at      int
+	pace    float64
+	presses bool
 }
 
 // slotFinder finds slots for moved runs during one check.
@@ -39,8 +40,8 @@
 	load  float64
 }
 
-// find returns up to n slots for tasks of the step, the ones with the best pace
-// first, and the candidate of each. Workers that pace runs of the step down have
+// find returns up to n slots for tasks of the step, harmless ones and those with
+// the best pace first, and the candidate of each. Workers that pace runs of the step down have
 // none. Slots where the step presses are only used if there are too few others.
 func (f *slotFinder) find(s *step, n int) (slots []rebalance.Slot, at []int) {
 	v := f.v
@@ -54,12 +55,12 @@
 	}
 	v.barOrigins(s)
 	found := f.harmless(s, n)
+	sortSlots(found)
 	if len(found) < n {
 		found = append(found, f.pressing(s, n-len(found))...)
 	}
-	sortSlots(found)
 	for _, x := range found {
-		slots = append(slots, rebalance.Slot{Pace: x.pace})
+		slots = append(slots, rebalance.Slot{Pace: x.pace, Presses: x.presses})
 		at = append(at, x.at)
 	}
 	return slots, at
@@ -79,7 +80,7 @@
 			break
 		}
 		v.reserve(i, s.spec)
-		list = append(list, moveSlot{i, f.paces[i]})
+		list = append(list, moveSlot{at: i, pace: f.paces[i]})
 	}
 	return list
 }
@@ -99,7 +100,7 @@
 			continue
 		}
 		if pace := min(f.paces[i], f.term.learner.bearablePace(w, f.spare[i], s.spec)); pace >= minSlotPace {
-			list = append(list, moveSlot{i, pace})
+			list = append(list, moveSlot{at: i, pace: pace, presses: true})
 		}
 	}
 	sortSlots(list)
