--- a/entry/scheduler/holdcapacity.go
+++ b/entry/scheduler/holdcapacity.go
@@ -47,7 +47,11 @@
 // hold holds capacity on w for the next run of a task.
 func (w *worker) hold(r taskRef, now time.Time) {
 	r.task.pin, r.task.pinUntil, r.task.moving = w.id, now.Add(pinFor), false
-	w.held[r.id] = heldCapacity{need: r.step.spec.Reserved(), job: r.job, task: r.task}
+	h := heldCapacity{need: r.step.spec.Reserved(), job: r.job, task: r.task}
+	if r.step.spec.Fills {
+		h.fill = r.step.spec.Need.CPU
+	}
+	w.held[r.id] = h
 }
 
 // unpin releases the capacity that is held for a task, if any.
@@ -57,6 +61,9 @@
 			delete(v.workers[n].held, id)
 			v.candidates[n].Free = v.candidates[n].Free.Add(h.need)
 			v.candidates[n].Held = v.candidates[n].Held.Sub(h.need)
+			if h.fill > 0 && h.holdsFill(time.Now()) {
+				v.candidates[n].FillLoad -= h.fill
+			}
 		}
 	}
 	k.pin = ""
@@ -73,7 +80,7 @@
 		}
 		id := workload.TaskID{Job: j.spec.ID, Occurrence: o.number, Step: si, Index: i}
 		n := v.index(k.pin)
-		if n < 0 || v.candidates[n].Barred || s.spec.Spread > 0 && v.candidates[n].OfStep >= s.spec.Spread {
+		if n < 0 || v.barsPinned(n, s.spec) || s.spec.Spread > 0 && v.candidates[n].OfStep >= s.spec.Spread {
 			v.unpin(id, k)
 			continue
 		}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -34,6 +34,8 @@
 	StatusFor time.Duration
 	// Policies are the scheduling policies in force.
 	Policies scheduling.Policies
+	// MoveCosts are what a move of a run costs.
+	MoveCosts MoveCosts
 }
 
 // Deps are the scheduler's dependencies.
@@ -111,6 +113,11 @@
 	layoutTerm
 	// lastRelocate is when filling runs were last checked.
 	lastRelocate time.Duration
+	// lastRebalance is when runs that hold up their step were last checked.
+	lastRebalance time.Duration
+	// rebalanced counts the steps with slow runs that the last checks have passed; 0
+	// once they have passed all.
+	rebalanced int
 	// retired are jobs whose rows are deleted except for their progress.
 	retired []workload.JobID
 	// earlyCancels holds cancellations of jobs that are not known yet.
