Aging policy: a bound on the wait of accepted jobs

Cause: the order knows three classes and the least remaining work. A job that can't end within three objectives comes after all others, whatever it lacks, and the largest jobs wait for all smaller ones.

Change: with the policy aging on, filling jobs are ordered by their remaining work against their size and the use of their end, across the classes. A job without a run for 1.25 objectives is starved: its next task goes first. Overdue jobs are ended one after the other. What goes first is at most a tenth of the placed work. The time since which a job has had no run is stored with its progress, so a successor goes on counting.

--- a/decide/order/order.go
+++ b/decide/order/order.go
@@ -43,6 +43,11 @@
 	// By is the deadline of the job's class (the objective, or lateFactor times
 	// it), since the start of the store's clock.
 	By time.Duration
+	// Weighed, Starved and Cost are set by Weigh. Cost orders the jobs with
+	// filling work, of all classes; Starved jobs have had no run for longer than
+	// their objective.
+	Weighed, Starved bool
+	Cost             float64
 }
 
 // Compare orders keys as cmp.Compare does; the lesser comes first.
@@ -51,6 +56,9 @@
 // Often there is more filling work than the serving tasks can bear. In this order
 // most jobs still end in time; in the order of deadlines nearly all end late.
 func (a Key) Compare(b Key) int {
+	if a.Weighed && b.Weighed {
+		return a.compareWeighed(b)
+	}
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Class, b.Class),
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -25,6 +25,9 @@
 	// Drains lists the data centres that are drained now; nil between terms.
 	Drained atomic.Int64
 	Drains  atomic.Pointer[[]DrainedDataCentre]
+	// PlacedFirst counts the runs of aged jobs that were placed before those of
+	// other jobs, Starved how often a job had no run for its objective.
+	PlacedFirst, Starved atomic.Int64
 	// Commits counts transaction attempts, CommitErrors errors except conflicts.
 	Commits, CommitErrors atomic.Int64
 	// FirstStart is the time from a job's acceptance to its first placement,
@@ -60,6 +63,7 @@
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
 		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
+		"placed_first": c.PlacedFirst.Load(), "starved": c.Starved.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -137,6 +137,9 @@
 	started bool
 	// idleSince is when the job was first seen without a placed task.
 	idleSince time.Time
+	// noRunSince is the time since which no task of the job has been placed, in ms
+	// of the store's clock; 0 while a task is placed or the aging policy is off.
+	noRunSince int64
 	// durations are the expected durations of the steps' tasks, computed when
 	// durationsTimed tasks had been timed.
 	durations      []time.Duration
@@ -241,7 +244,7 @@
 
 // row returns the job's progress as the store keeps it.
 func (j *job) row() progressRow {
-	r := progressRow{State: j.state, Final: j.final, Next: j.next}
+	r := progressRow{State: j.state, Final: j.final, Next: j.next, NoRunSince: j.noRunSince}
 	refs := map[workerRef]int{}
 	for _, o := range j.occurrences {
 		or := occurrenceRow{Number: o.number}
@@ -296,6 +299,7 @@
 func (j *job) restore(r progressRow, now time.Time) {
 	j.state, j.stored, j.final, j.next = r.State, r.State, r.Final, r.Next
 	j.started = r.State != workload.Queued
+	j.noRunSince = r.NoRunSince
 	for _, or := range r.Occurrences {
 		o := j.newOccurrence(or.Number)
 		for i, sr := range or.Steps {
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -25,12 +25,20 @@
 	t.endQuarantines(time.Now())
 	v := t.newView()
 	t.learner.trials.scan(v.workers, t.learner.weights(), v.now)
+	if t.cfg.Policies.Aging.Enabled {
+		t.planTurns(v)
+	} else {
+		t.planInOrder(v)
+	}
+	t.relocate(v)
+}
+
+func (t *Term) planInOrder(v *view) {
 	for _, j := range t.active {
 		if !j.state.Final() {
 			t.planJob(v, j)
 		}
 	}
-	t.relocate(v)
 }
 
 // refresh updates the list of active jobs, their queues and their order.
@@ -120,6 +128,9 @@
 		if !k.mayStart(now) || k.waitsForMove(now) {
 			continue
 		}
+		if t.turnOver(s.spec, v.now) {
+			return
+		}
 		n := -1
 		if !full {
 			var taskOnly bool
@@ -181,6 +192,9 @@
 // waitExpired reports whether a job no longer waits for a worker on which it
 // does not press.
 func (t *Term) waitExpired(v *view, j *job) bool {
+	if t.aging.lifted {
+		return true
+	}
 	now := time.Duration(t.storeNow()) * time.Millisecond
 	if j.key.Class == order.Overdue && now > j.key.By+waitLimit {
 		return true
@@ -264,6 +278,7 @@
 	s.waiting--
 	w.add(workload.RunID{Task: id, Run: run}, s.spec)
 	v.reserve(n, s.spec)
+	t.countTurn(j, si, v.now)
 	if j.state == workload.Queued {
 		j.state = workload.Running
 	}
--- a/entry/scheduler/rank.go
+++ b/entry/scheduler/rank.go
@@ -23,7 +23,7 @@
 func (t *Term) rank(j *job, now time.Duration) order.Key {
 	accepted := time.Duration(j.spec.Accepted) * time.Millisecond
 	if j.spec.Steps[0].Lasting || j.spec.Repeat.Count > 0 {
-		return order.Key{Priority: j.queue.Priority, By: accepted}
+		return order.Key{Priority: j.queue.Priority, By: accepted, Weighed: t.cfg.Policies.Aging.Enabled}
 	}
 	took := j.expected()
 	whole := order.Chain(j.spec.Steps, took, func(int) bool { return false })
@@ -38,6 +38,9 @@
 		o := j.occurrences[0]
 		key.Work = order.Work(j.spec.Steps, took, func(i int) int { return len(o.steps[i].tasks) - o.steps[i].done })
 	}
+	if t.cfg.Policies.Aging.Enabled {
+		key = t.weigh(j, key, now)
+	}
 	return key
 }
 
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -111,7 +111,10 @@
 	// Final is when the final state was reached, in ms of the store's clock.
 	Final int64 `json:"f,omitempty"`
 	// Next is the first occurrence that has not begun.
-	Next        int             `json:"n,omitempty"`
+	Next int `json:"n,omitempty"`
+	// NoRunSince is the time since which the job has had no run, in ms of the
+	// store's clock. A job whose first run is not recorded has no row.
+	NoRunSince  int64           `json:"i,omitempty"`
 	Workers     []workerRef     `json:"w,omitempty"`
 	Occurrences []occurrenceRow `json:"o,omitempty"`
 }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -91,6 +91,7 @@
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
 	learner learner
+	aging   aging
 	// savedVersion is the model version last saved, at savedAt.
 	savedVersion uint64
 	savedAt      time.Duration
