Paced placement: filling runs beside serving tasks on which they press

Cause: a pair of images that is known to press is a bar until the wait has expired. Where most workers hold several serving images, room stands idle beside jobs that starve.

Change: with the policy paced_placement on, a task that fits nowhere else, and whose job can't wait, starts at the pace that all serving tasks of a worker bear, one such run on a worker. The order carries the pace, and the agent sends it as soon as the run is there.

The queue model of the aging test ranks each job once a plan.

--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -97,7 +97,7 @@
 			return
 		}
 	}
-	x := &run{id: o.Run, payload: payload, checkpoint: o.Checkpoint, ticket: o.Ticket}
+	x := &run{id: o.Run, payload: payload, checkpoint: o.Checkpoint, ticket: o.Ticket, startPace: o.Pace}
 	x.setSize(o)
 	inc.runs[o.Run] = x
 	if why := r.startRefusal(inc, x); why != "" {
@@ -176,6 +176,7 @@
 		}
 		done, reason := r.applyStartAnswer(inc, x, now, err)
 		if done {
+			r.sendStartingPace(ctx, inc, x)
 			return
 		}
 		if reason != "" || errors.Is(err, workerctl.ErrNotDone) && try >= maxNotDoneTries {
@@ -252,6 +253,7 @@
 	x.confirmedAt = r.deps.Now()
 	x.recordPresent(false, x.confirmedAt)
 	x.workedAt = x.confirmedAt
+	inc.applyStartingPace(x)
 	x.changed = r.recordChange(false)
 	if now > inc.clock.now {
 		inc.clock = clockReading{now: now, at: x.confirmedAt}
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -206,6 +206,8 @@
 	// one the run works at full pace.
 	pace    int
 	pacedAt time.Duration
+	// startPace is the pace, in percent, that the run's order demands; 0 for none.
+	startPace int
 	// worked is the run's work up to workedAt, as time at full pace.
 	worked   time.Duration
 	workedAt time.Duration
--- a/decide/order/aging_test.go
+++ b/decide/order/aging_test.go
@@ -18,6 +18,7 @@
 	durations                                        [][]time.Duration
 	placed, done                                     []int
 	work                                             float64
+	rank                                             Key
 }
 
 func (j *simJob) estimates() []time.Duration { return estimatedDurations(j.spec) }
@@ -172,9 +173,15 @@
 			waiting = append(waiting, j)
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *simJob) int { return a.key(now, s.aging).Compare(b.key(now, s.aging)) })
+	if free == 0 {
+		return 0
+	}
+	for _, j := range waiting {
+		j.rank = j.key(now, s.aging)
+	}
+	slices.SortStableFunc(waiting, func(a, b *simJob) int { return a.rank.Compare(b.rank) })
 	for _, j := range waiting {
-		keys = append(keys, j.key(now, s.aging))
+		keys = append(keys, j.rank)
 	}
 	turns := Turns(keys)
 	placed := 0
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -28,6 +28,9 @@
 	// PlacedFirst counts the runs of aged jobs that were placed before those of
 	// other jobs, Starved how often a job had no run for its objective.
 	PlacedFirst, Starved atomic.Int64
+	// PlacedPaced counts the filling runs placed at a reduced pace beside serving
+	// tasks on which they press.
+	PlacedPaced atomic.Int64
 	// Commits counts transaction attempts, CommitErrors errors except conflicts.
 	Commits, CommitErrors atomic.Int64
 	// FirstStart is the time from a job's acceptance to its first placement,
@@ -63,7 +66,7 @@
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
 		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
-		"placed_first": c.PlacedFirst.Load(), "starved": c.Starved.Load(),
+		"placed_first": c.PlacedFirst.Load(), "starved": c.Starved.Load(), "placed_paced": c.PlacedPaced.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"agents": c.Agents.Load(), "agents_heard": c.AgentsHeard.Load(),
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -37,6 +37,8 @@
 	pin      workload.WorkerID
 	pinUntil time.Time
 	moving   bool
+	// startPace is the pace at which the run starts, in percent; 0 for full pace.
+	startPace int
 	// ticket is the policy service's permission for this run on its worker.
 	ticket string
 	// worked is the working time of earlier runs, converted to full speed.
@@ -86,6 +88,10 @@
 	// known duration; timed counts these tasks.
 	took  time.Duration
 	timed int
+	// stillWaiting is the number of waiting tasks since waitsSince, as placePaced
+	// saw it.
+	stillWaiting int
+	waitsSince   time.Duration
 	// advice is set for steps of queues that need tickets from the policy service.
 	advice *advice
 	// refusalsLogged is when it was last logged that no worker can hold capacity for
@@ -146,6 +152,9 @@
 	durationsTimed int
 	// suspect says that a task of the job is a prime suspect (see markPrime).
 	suspect bool
+	// slack is the time that the job can still wait and end within its objective,
+	// as of the last plan.
+	slack time.Duration
 	// key is the job's place in the order of the last plan.
 	key order.Key
 }
--- a/entry/scheduler/orders.go
+++ b/entry/scheduler/orders.go
@@ -10,7 +10,7 @@
 func (l *agentLink) addStart(j *job, id workload.TaskID, s *step, k *task) {
 	r := workload.RunID{Task: id, Run: k.run}
 	l.starts[r] = dispatch.StartOrder{
-		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, Image: s.spec.Image, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint, Ticket: k.ticket,
+		Run: r, Need: s.spec.Need, Fills: s.spec.Fills, Image: s.spec.Image, TailTarget: s.spec.TailTarget, Checkpoint: k.checkpoint, Ticket: k.ticket, Pace: k.startPace,
 		Gang: s.spec.Gang, Watched: k.crashes > 0, Estimate: comparableEstimate(s.spec),
 	}
 	signal(l.outbox)
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -101,6 +101,7 @@
 		return
 	}
 	t.planStep(v, j, o, si)
+	t.placePaced(v, j, o, si)
 	if suspects {
 		t.planQuarantine(v, j, o, si, now)
 	}
@@ -271,6 +272,7 @@
 	k.placedAt = time.Now()
 	k.ordered, k.stopping = false, false
 	k.presentAt = 0
+	k.startPace = 0
 	k.ticket = ""
 	if s.advice != nil {
 		k.ticket, _ = s.advice.ticket(w.id, k.placedAt)
--- a/entry/scheduler/rank.go
+++ b/entry/scheduler/rank.go
@@ -33,6 +33,7 @@
 		left = order.Chain(j.spec.Steps, took, func(i int) bool { return o.steps[i].complete() })
 	}
 	key := order.Rank(j.queue, accepted, now, whole, left)
+	j.slack = slackOf(key, now, left)
 	key.Suspect = key.Class == order.Overdue && j.suspect
 	if len(j.occurrences) > 0 {
 		o := j.occurrences[0]
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -40,6 +40,9 @@
 	TailTarget time.Duration
 	Checkpoint string
 	Ticket     string
+	// Pace is the pace, in percent, at which a filling run starts beside serving
+	// tasks on which it presses; 0 for full pace.
+	Pace int
 	// Gang says that the run works only together with the gang's other runs.
 	Gang bool
 	// Watched requests a report once RunReport.Proven holds. It is set if an
