--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -29,6 +29,12 @@
 	// Drains lists the data centres that are drained now; nil between terms.
 	Drained atomic.Int64
 	Drains  atomic.Pointer[[]DrainedDataCentre]
+	// PlacedFirst counts the runs of aged jobs that were placed before those of
+	// other jobs, Starved how often a job had no run for its objective.
+	PlacedFirst, Starved atomic.Int64
+	// PlacedPaced counts the filling runs placed at a reduced pace beside serving
+	// tasks on which they press.
+	PlacedPaced atomic.Int64
 	// Commits counts transaction attempts, CommitErrors errors except conflicts.
 	Commits, CommitErrors atomic.Int64
 	// FirstStart is the time from a job's acceptance to its first placement,
@@ -96,6 +102,7 @@
 		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "drains": c.drains(),
 		"laid_out": c.LaidOut.Load(), "passed_over_ms": c.PassedOver.figures(),
 		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(),
+		"placed_first": c.PlacedFirst.Load(), "starved": c.Starved.Load(), "placed_paced": c.PlacedPaced.Load(),
 		"commits": c.Commits.Load(), "commit_errors": c.CommitErrors.Load(),
 		"first_start_ms": c.FirstStart.Summary(), "commit_ms": c.Commit.Summary(), "plan_ms": c.Plan.Summary(),
 		"forecast_ms": c.Forecast.Summary(), "forecast_errors": c.ForecastErrors.figures(),
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -41,6 +41,8 @@
 	pin      workload.WorkerID
 	pinUntil time.Time
 	moving   bool
+	// startPace is the pace at which the run starts, in percent; 0 for full pace.
+	startPace int
 	// ticket is the policy service's permission for this run on its worker.
 	ticket string
 	// worked is the working time of earlier runs, converted to full speed.
@@ -96,6 +98,10 @@
 	timed int
 	// times are the same durations as the forecast of ends learns from them.
 	times forecast.StepTimes
+	// stillWaiting is the number of waiting tasks since waitsSince, as placePaced
+	// saw it.
+	stillWaiting int
+	waitsSince   time.Duration
 	// advice is set for steps of queues that need tickets from the policy service.
 	advice *advice
 	// refusalsLogged is when it was last logged that no worker can hold capacity for
@@ -149,12 +155,18 @@
 	started bool
 	// idleSince is when the job was first seen without a placed task.
 	idleSince time.Time
+	// noRunSince is the time since which no task of the job has been placed, in ms
+	// of the store's clock; 0 while a task is placed or the aging policy is off.
+	noRunSince int64
 	// durations are the expected durations of the steps' tasks, computed when
 	// durationsTimed tasks had been timed.
 	durations      []time.Duration
 	durationsTimed int
 	// suspect says that a task of the job is a prime suspect (see markPrime).
 	suspect bool
+	// slack is the time that the job can still wait and end within its objective,
+	// as of the last plan.
+	slack time.Duration
 	// key is the job's place in the order of the last plan.
 	key order.Key
 }
@@ -254,7 +266,7 @@
 
 // row returns the job's progress as the store keeps it.
 func (j *job) row() progressRow {
-	r := progressRow{State: j.state, Final: j.final, Next: j.next}
+	r := progressRow{State: j.state, Final: j.final, Next: j.next, NoRunSince: j.noRunSince}
 	refs := map[workerRef]int{}
 	for _, o := range j.occurrences {
 		or := occurrenceRow{Number: o.number}
@@ -310,6 +322,7 @@
 func (j *job) restore(r progressRow, now time.Time) {
 	j.state, j.stored, j.final, j.next = r.State, r.State, r.Final, r.Next
 	j.started = r.State != workload.Queued
+	j.noRunSince = r.NoRunSince
 	for _, or := range r.Occurrences {
 		o := j.newOccurrence(or.Number)
 		for i, sr := range or.Steps {
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -26,13 +26,22 @@
 	t.firstForecast()
 	v := t.newView()
 	t.learner.trials.scan(v.workers, t.learner.weights(), v.now)
+	if t.cfg.Policies.Aging.Enabled {
+		t.planTurns(v)
+	} else {
+		t.planInOrder(v)
+	}
+	t.relocate(v)
+	t.rebalance(v)
+}
+
+// planInOrder plans the active jobs one after the other.
+func (t *Term) planInOrder(v *view) {
 	for _, j := range t.active {
 		if !j.state.Final() {
 			t.planJob(v, j)
 		}
 	}
-	t.relocate(v)
-	t.rebalance(v)
 }
 
 // refresh updates the list of active jobs, their queues and their order.
@@ -95,6 +104,7 @@
 		return
 	}
 	t.planStep(v, j, o, si)
+	t.placePaced(v, j, o, si)
 	if suspects {
 		t.planQuarantine(v, j, o, si, now)
 	}
@@ -125,6 +135,9 @@
 		if !k.mayStart(now) || k.waitsForMove(now) {
 			continue
 		}
+		if t.turnOver(s.spec, v.now) {
+			return
+		}
 		n := -1
 		if !full {
 			var taskOnly bool
@@ -189,6 +202,9 @@
 // waitExpired reports whether a job no longer waits for a worker on which it
 // does not press.
 func (t *Term) waitExpired(v *view, j *job) bool {
+	if t.aging.lifted {
+		return true
+	}
 	now := time.Duration(t.storeNow()) * time.Millisecond
 	if j.key.Class == order.Overdue && now > j.key.By+waitLimit {
 		return true
@@ -269,6 +285,7 @@
 	}
 	k.ordered, k.stopping = false, false
 	k.presentAt = 0
+	k.startPace = 0
 	k.ticket = ""
 	if s.advice != nil {
 		k.ticket, _ = s.advice.ticket(w.id, k.placedAt)
@@ -276,6 +293,7 @@
 	s.waiting--
 	w.add(workload.RunID{Task: id, Run: run}, s.spec)
 	v.reserve(n, s.spec)
+	t.countTurn(j, si, v.now)
 	if j.state == workload.Queued {
 		j.state = workload.Running
 	}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -95,6 +95,7 @@
 	learner learner
 	// forecaster predicts the ends of jobs; nil if the policy is off.
 	forecaster *forecaster
+	aging      aging
 	// savedVersion is the model version last saved, at savedAt.
 	savedVersion uint64
 	savedAt      time.Duration
