--- a/entry/scheduler/forecast.go
+++ b/entry/scheduler/forecast.go
@@ -37,7 +37,7 @@
 	madeAt, cost time.Duration
 	// loggedAt is when the backlog was last logged.
 	loggedAt time.Duration
-	arrivals []forecast.Arrival
+	arrivals []serviceArrival
 	// arrived are the jobs not yet counted among the arrivals: their work is known
 	// with the next snapshot.
 	arrived []*job
@@ -53,6 +53,12 @@
 	savedAt               time.Duration
 }
 
+// serviceArrival is an arrival without its room, which follows from the service.
+type serviceArrival struct {
+	forecast.Arrival
+	service string
+}
+
 // storedRoom is the room of a service, in cores.
 type storedRoom struct {
 	Filling  float64 `json:"f"`
--- a/entry/scheduler/forecast_test.go
+++ b/entry/scheduler/forecast_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"persimmonrock.example/decide/forecast"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
 )
@@ -121,6 +122,29 @@
 	}
 }
 
+// Failure guarded against: the arrivals of a service are counted for another one,
+// or end the process, once the jobs that named the services first have ended.
+func TestArrivalsKeepTheirService(t *testing.T) {
+	term := forecastingTerm(4, 2)
+	now := time.Minute
+	other := workload.Queue{Name: "r", Service: "another", Stretch: 2}
+	step := workload.Step{Count: 2, Need: workload.Resources{CPU: 1000}, Estimate: time.Second, Fills: true}
+	term.addJob(workload.Job{ID: "0000000000000099", Queue: other, Steps: []workload.Step{step}, Accepted: now.Milliseconds()})
+	term.snapshot()
+	term.queues = nil
+	term.active = term.active[len(term.active)-1:]
+	s := term.snapshot()
+	services := map[string]int{}
+	for _, a := range s.Arrivals {
+		services[s.Rooms[a.Room].Service]++
+	}
+	if services["another"] != 1 || services["s"] != 2 {
+		t.Errorf("arrivals by service: %v", services)
+	}
+	term.active = nil
+	forecast.Compute(term.snapshot())
+}
+
 // The error of the forecast at acceptance is counted when the job has ended.
 func TestForecastIsComparedWithTheEnd(t *testing.T) {
 	term := forecastingTerm(20, 1)
--- a/entry/scheduler/forecastsnapshot.go
+++ b/entry/scheduler/forecastsnapshot.go
@@ -164,7 +164,7 @@
 	for _, j := range c.arrived {
 		at := time.Duration(j.spec.Accepted) * time.Millisecond
 		if work := j.wholeWork(); work > 0 && at > least {
-			c.arrivals = append(c.arrivals, forecast.Arrival{At: at, Priority: j.queue.Priority, Room: b.roomsOf(j.queue.Service), Work: work})
+			c.arrivals = append(c.arrivals, serviceArrival{service: j.queue.Service, Arrival: forecast.Arrival{At: at, Priority: j.queue.Priority, Work: work}})
 		}
 	}
 	c.arrived = nil
@@ -175,7 +175,12 @@
 		}
 	}
 	c.arrivals = kept[max(0, len(kept)-maxArrivals):]
-	b.s.Arrivals = append([]forecast.Arrival(nil), c.arrivals...)
+	b.s.Arrivals = make([]forecast.Arrival, len(c.arrivals))
+	for i, a := range c.arrivals {
+		// The rooms of each snapshot have numbers of their own.
+		a.Room = b.roomsOf(a.service)
+		b.s.Arrivals[i] = a.Arrival
+	}
 }
 
 // wholeWork is the filling work of one occurrence of the job by its estimates, in
