Forecast: the outlook's wait is the mean over a queue's images; late ends teach no pace

- The wait of a new job followed from one image of its queue, whichever came last, and from a share of the whole room: for an image that can use little of it the wait was never over.
Now it is the mean over the queue's images, each by the room that it can use.
- Jobs that no plan has seen had no key and were forecast last.
- Runs from before a takeover taught a pace: their ends are reported late.

--- a/decide/forecast/forecast_test.go
+++ b/decide/forecast/forecast_test.go
@@ -207,7 +207,7 @@
 // Failure guarded against: new jobs are told to wait though room is free, or let
 // in behind a backlog that lasts a minute.
 func TestOutlookTellsTheWait(t *testing.T) {
-	queues := []Queue{{Name: "q", Filling: 0, Reserved: -1, Image: 0}}
+	queues := []Queue{{Name: "q", Filling: 0, Reserved: -1, Images: []int{0}}}
 	small := Job{ID: "1", Key: order.Key{Work: 10}, Steps: []Step{{Cores: 5, Typical: 2 * time.Second, Running: []time.Duration{0}}}}
 	f := Compute(&Snapshot{At: testNow, Jobs: []Job{small}, Rooms: fillingRoom(100), Queues: queues, Window: testWindow})
 	if wait, ok := f.Outlook.Loads["q"].Filling.Wait(500); !ok || wait != 0 {
--- a/decide/forecast/marks.go
+++ b/decide/forecast/marks.go
@@ -77,15 +77,25 @@
 func (m *marks) measure(x *model, k *mark) {
 	q := &x.s.Queues[k.queue]
 	if q.Filling >= 0 {
-		p := x.profiles[q.Filling]
-		k.filling = p.freeAt(q.Image, freeShare*p.room.Usual)
+		k.filling = x.profiles[q.Filling].meanWait(q.Images)
 	}
 	if q.Reserved >= 0 {
-		p := x.profiles[q.Reserved]
-		k.reserved = p.freeAt(-1, freeShare*p.room.Usual)
+		k.reserved = x.profiles[q.Reserved].meanWait(nil)
 	}
 }
 
+// meanWait is the mean, over the images, of the time until some room is free.
+func (p *profile) meanWait(images []int) float64 {
+	if len(images) == 0 {
+		return p.freeAt(-1, freeShare*p.room.Usual)
+	}
+	sum := 0.0
+	for _, i := range images {
+		sum += p.freeAt(i, freeShare*p.room.usable(i))
+	}
+	return sum / float64(len(images))
+}
+
 // outlook sums up the waits at the marks. Work ahead is given as what the room
 // serves in the wait, so that room which is free now means no work ahead.
 func (m *marks) outlook(s *Snapshot) Outlook {
@@ -94,7 +104,7 @@
 		q := &s.Queues[i]
 		var l Load
 		if q.Filling >= 0 {
-			l.Filling.Cores = s.Rooms[q.Filling].usable(q.Image)
+			l.Filling.Cores = s.Rooms[q.Filling].meanUsable(q.Images)
 		}
 		if q.Reserved >= 0 {
 			l.Reserved.Cores = s.Rooms[q.Reserved].Usual
@@ -118,6 +128,18 @@
 	return r.Usual * r.Images[image]
 }
 
+// meanUsable is the mean of usable over the images.
+func (r *Room) meanUsable(images []int) float64 {
+	if len(images) == 0 {
+		return r.Usual
+	}
+	sum := 0.0
+	for _, i := range images {
+		sum += r.usable(i)
+	}
+	return sum / float64(len(images))
+}
+
 // addStep appends the wait of a job of the given work. It replaces the step
 // before if both have the same work ahead.
 func (b *Backlog) addStep(work, wait float64) {
--- a/decide/forecast/snapshot.go
+++ b/decide/forecast/snapshot.go
@@ -85,8 +85,9 @@
 	Priority int
 	// Filling and Reserved index Snapshot.Rooms; -1 is none.
 	Filling, Reserved int
-	// Image indexes Room.Images for the queue's usual filling image; -1 is none.
-	Image int
+	// Images index Room.Images for the images of the queue's filling jobs. A new job
+	// is expected to have one of them.
+	Images []int
 }
 
 // Arrival is a job that was accepted recently.
--- a/entry/scheduler/forecast.go
+++ b/entry/scheduler/forecast.go
@@ -175,8 +175,10 @@
 	if c == nil {
 		return
 	}
+	// What a run from before this term took is not known: its end may have been
+	// reported late.
 	var ran time.Duration
-	if k.placedStore > 0 {
+	if k.placedStore > 0 && !k.fromEarlierTerm {
 		ran = time.Duration(t.storeNow()-k.placedStore) * time.Millisecond
 	}
 	worked := e.Worked
--- a/entry/scheduler/forecastrow.go
+++ b/entry/scheduler/forecastrow.go
@@ -60,6 +60,6 @@
 }
 
 func (k *task) restoreTimes(r taskRow) {
-	k.placedStore = r.Placed
+	k.placedStore, k.fromEarlierTerm = r.Placed, true
 	k.worked = time.Duration(r.Worked) * time.Millisecond
 }
--- a/entry/scheduler/forecastsnapshot.go
+++ b/entry/scheduler/forecastsnapshot.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"persimmonrock.example/decide/forecast"
+	"persimmonrock.example/decide/order"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -37,7 +39,8 @@
 		Jobs: make([]forecast.Job, 0, len(t.active)),
 	}}
 	for _, j := range t.active {
-		if !j.state.Final() {
+		// The key of a job that no plan has seen is not known yet.
+		if !j.state.Final() && j.key != (order.Key{}) {
 			b.addJob(j)
 		}
 	}
@@ -131,9 +134,12 @@
 	return time.Duration(max(0, b.now-k.placedStore)) * time.Millisecond
 }
 
+// outlookImages bounds the images of a queue for which an outlook is computed.
+const outlookImages = 12
+
 // addQueues adds the queues of the configuration, and those of active jobs.
 func (b *snapshotter) addQueues() {
-	images := map[string]int{}
+	images := map[string][]int{}
 	queues := make(map[string]workload.Queue, len(b.t.queues))
 	for name, q := range b.t.queues {
 		queues[name] = q
@@ -141,18 +147,17 @@
 	for _, j := range b.t.active {
 		queues[j.queue.Name] = j.queue
 		for i := range j.spec.Steps {
-			if s := &j.spec.Steps[i]; s.Fills && !j.state.Final() {
-				images[j.queue.Name] = b.imageOf(b.roomsOf(j.queue.Service), s)
+			known := images[j.queue.Name]
+			if s := &j.spec.Steps[i]; s.Fills && !j.state.Final() && len(known) < outlookImages {
+				if n := b.imageOf(b.roomsOf(j.queue.Service), s); !slices.Contains(known, n) {
+					images[j.queue.Name] = append(known, n)
+				}
 			}
 		}
 	}
 	for name, q := range queues {
 		room := b.roomsOf(q.Service)
-		x := forecast.Queue{Name: name, Priority: q.Priority, Filling: room, Reserved: room + 1, Image: -1}
-		if n, ok := images[name]; ok {
-			x.Image = n
-		}
-		b.s.Queues = append(b.s.Queues, x)
+		b.s.Queues = append(b.s.Queues, forecast.Queue{Name: name, Priority: q.Priority, Filling: room, Reserved: room + 1, Images: images[name]})
 	}
 }
 
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -36,6 +36,8 @@
 	// placedStore is placedAt by the store's clock, in ms, while ends are forecast;
 	// otherwise 0.
 	placedStore int64
+	// fromEarlierTerm says that the last run was placed by an earlier scheduler.
+	fromEarlierTerm bool
 	// pin is the worker that holds capacity for the next run. From pinUntil on,
 	// another worker may hold it instead. moving is set if pin is the destination
 	// of a move: until pinUntil, the task is placed on no other worker.
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -260,7 +260,7 @@
 	k.agent, k.worker = w.agent, w.id
 	k.placedAt = time.Now()
 	if t.forecaster != nil {
-		k.placedStore = t.storeNow()
+		k.placedStore, k.fromEarlierTerm = t.storeNow(), false
 	}
 	k.ordered, k.stopping = false, false
 	k.presentAt = 0
