Forecast: the outlook's wait in the line on a job's end, in place of the first placement

The first task of nearly every job is placed by the plan that first sees it, so the wait until the first placement was 0 and said nothing of the wait for room that the rest of the job has.

--- a/entry/scheduler/forecast.go
+++ b/entry/scheduler/forecast.go
@@ -166,6 +166,10 @@
 func (t *Term) forecastArrival(j *job) {
 	if t.forecaster != nil {
 		t.forecaster.arrived = append(t.forecaster.arrived, j)
+		load := t.forecaster.last.Outlook.Loads[j.queue.Name].Filling
+		if wait, ok := load.Wait(j.wholeWork()); ok && t.loaded {
+			j.outlookWait = wait
+		}
 	}
 }
 
--- a/entry/scheduler/forecasterror.go
+++ b/entry/scheduler/forecasterror.go
@@ -122,8 +122,8 @@
 		line = line.Dur(name+"_predicted", made.End.Half-made.At).Dur(name+"_nine_tenths", made.End.NineTenths-made.At).
 			Dur(name+"_actual", ended-made.At).Float64(name+"_ratio", roundThousandth(ratio))
 	}
-	if first := k.at[atAcceptance]; k.made[atAcceptance] && k.made[atStart] {
-		line = line.Dur("wait_predicted", first.End.Start-first.At).Dur("wait_actual", k.at[atStart].At-first.At)
+	if j.outlookWait >= 0 {
+		line = line.Dur("outlook_wait", j.outlookWait)
 	}
 	if k.made[atAcceptance] {
 		c.errors.Learn(k.kind, k.at[atAcceptance], ended)
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -142,6 +142,9 @@
 	final       int64
 	next        int
 	occurrences []*occurrence
+	// outlookWait is the wait that the outlook predicted for the job's filling work
+	// when the job was accepted; negative if unknown.
+	outlookWait time.Duration
 	// cancelRow says that the store has a cancellation of the job.
 	cancelRow bool
 	// unsaved says that the job is on the list of jobs to store.
@@ -160,7 +163,7 @@
 }
 
 func newJob(spec workload.Job) *job {
-	return &job{spec: spec, queue: spec.Queue, state: workload.Queued, stored: workload.Queued}
+	return &job{spec: spec, queue: spec.Queue, state: workload.Queued, stored: workload.Queued, outlookWait: -1}
 }
 
 func (j *job) newOccurrence(number int) *occurrence {
