Rebalancing: no slot where it isn't known how much the run presses

A worker also counts as pressed on while a pair of images is tried on another one. A slot there was taken by the pair's expected weight, which undoes the trial.

TestUnknownPairsBearNothing fails without the change.

--- a/entry/scheduler/moveslots.go
+++ b/entry/scheduler/moveslots.go
@@ -167,12 +167,16 @@
 }
 
 // bearablePace is the pace at which the serving tasks of w, with the given spare
-// loads, bear one more task of s.
+// loads, bear one more task of s; 0 if it isn't known how much the task presses on
+// one of them: such pairs are tried on one worker first.
 func (l *learner) bearablePace(w *worker, spare []spareLoad, s *workload.Step) float64 {
 	pace := 1.0
 	for _, x := range spare {
-		weight := l.model.Weight(pressure.Pair{Serving: x.image, Filling: s.Image}).Value
-		if load := weight * float64(s.Need.CPU) / float64(w.info.Capacity.CPU); load > 0 {
+		weight := l.model.Weight(pressure.Pair{Serving: x.image, Filling: s.Image})
+		if !weight.Known {
+			return 0
+		}
+		if load := weight.Value * float64(s.Need.CPU) / float64(w.info.Capacity.CPU); load > 0 {
 			pace = min(pace, x.load/load)
 		}
 	}
