Admission by the outlook of the scheduler's forecast, off by default

Under a load that lasts, accepted work exceeds what the workers do while it is of use; callers hear nothing until it is too late.

decide/admission decides about one job by an outlook with its age: it refuses only what can't end within three objectives, with margins for estimates and the forecast, and in doubt accepts. The outlook travels on replies that pass between entries and the scheduler anyway. A refusal needs the scheduler's newest outlook, its word that it has no such job, and the store's that it has none.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -47,6 +47,15 @@
 // Counters count an entry's calls.
 type Counters struct {
 	Accepted, Repeated, Refused, Undecided, States, StateReads, Cancels atomic.Int64
+	// TooLate counts jobs that were refused because they could not end while of
+	// use. Unconfirmed, Stored and Unread count jobs that were accepted although
+	// the entry's outlook said so: the scheduler did not confirm it, the job was
+	// stored already, or the store did not tell in time. Outlooks counts the
+	// outlooks received.
+	TooLate, Unconfirmed, Stored, Unread, Outlooks atomic.Int64
+	// PredictedWait is the wait predicted for refused jobs, OutlookAge the age of
+	// the outlook by which they were refused.
+	PredictedWait, OutlookAge histogram.Latency
 	// Submission is the time from a job's arrival to the answer, State the time
 	// from a request for a job's state to the answer.
 	Submission, State histogram.Latency
@@ -57,6 +66,8 @@
 	return map[string]any{
 		"accepted": c.Accepted.Load(), "repeated": c.Repeated.Load(), "refused": c.Refused.Load(), "undecided": c.Undecided.Load(),
 		"states": c.States.Load(), "state_reads": c.StateReads.Load(), "cancels": c.Cancels.Load(),
+		"too_late": c.TooLate.Load(), "unconfirmed": c.Unconfirmed.Load(), "already_stored": c.Stored.Load(), "unread": c.Unread.Load(),
+		"outlooks": c.Outlooks.Load(), "predicted_wait_ms": c.PredictedWait.Summary(), "outlook_age_ms": c.OutlookAge.Summary(),
 		"hand_in_ms": c.Submission.Summary(), "state_ms": c.State.Summary(),
 	}
 }
@@ -69,12 +80,20 @@
 	log      zerolog.Logger
 	clock    *StoreClock
 	stopping atomic.Bool
-	Counters Counters
+	outlooks outlookKeeper
+	// The scheduler last did not confirm a refusal at unconfirmedAt, and the
+	// outcome of a submission was last unknown at undecidedAt; 0 for never. Both
+	// are local times.
+	unconfirmedAt, undecidedAt atomic.Int64
+	Counters                   Counters
 }
 
 // New returns a service.
 func New(store rowstore.Store, config *Follower, elector *scheduler.Elector, clock *StoreClock, log zerolog.Logger) *Service {
-	return &Service{store: store, config: config, elector: elector, clock: clock, log: log}
+	s := &Service{store: store, config: config, elector: elector, clock: clock, log: log}
+	s.outlooks.enabled = elector.Policies().Admission.Enabled
+	s.outlooks.received = &s.Counters.Outlooks
+	return s
 }
 
 // Stop marks the process as about to end: Ready returns false from then on.
@@ -117,6 +136,9 @@
 		return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
 	}
 	j.Queue = q
+	if err := s.admit(ctx, &j); err != nil {
+		return err
+	}
 	j.Accepted = s.clock.Now().Milliseconds()
 	value, err := json.Marshal(j)
 	if err != nil {
@@ -136,6 +158,7 @@
 		return nil
 	case undecided:
 		s.Counters.Undecided.Add(1)
+		s.noteUndecided()
 		return workload.ErrUndecided
 	}
 	s.Counters.Refused.Add(1)
@@ -216,7 +239,12 @@
 
 // notifyScheduler notifies the scheduler without waiting for it.
 func (s *Service) notifyScheduler(args dispatch.NoteArgs) {
+	args.Mark = s.outlooks.mark()
+	asked := s.clock.now()
 	if s.elector.Note(args) {
+		if term := s.elector.Term(); term != nil && args.Mark.Wanted {
+			s.outlooks.offer(term.Outlook(args.Mark), asked)
+		}
 		return
 	}
 	leader := s.elector.Leader()
@@ -228,6 +256,7 @@
 		if err := leader.Call(context.Background(), "Scheduler.Note", args, &reply, noteTimeout); err != nil {
 			s.log.Debug().Err(err).Msg("scheduler has not confirmed a notification; it reads the row from the feed, too")
 		}
+		s.outlooks.offer(reply.Outlook, asked)
 	}()
 }
 
@@ -238,22 +267,27 @@
 	if !workload.ValidJobID(string(id)) {
 		return "", workload.ErrNoJob
 	}
-	if reply, ok := s.schedulerState(ctx, id); ok && reply.Known {
+	if reply, ok := s.schedulerState(ctx, dispatch.StateArgs{ID: id}); ok && reply.Known {
 		return reply.State, nil
 	}
 	return s.readState(ctx, id)
 }
 
-func (s *Service) schedulerState(ctx context.Context, id workload.JobID) (dispatch.StateReply, bool) {
+func (s *Service) schedulerState(ctx context.Context, args dispatch.StateArgs) (dispatch.StateReply, bool) {
+	args.Mark = s.outlooks.mark()
+	asked := s.clock.now()
 	if term := s.elector.Term(); term != nil {
-		return term.State(id), true
+		reply := term.State(args)
+		s.outlooks.offer(reply.Outlook, asked)
+		return reply, true
 	}
 	leader := s.elector.Leader()
 	if leader == nil {
 		return dispatch.StateReply{}, false
 	}
 	var reply dispatch.StateReply
-	err := leader.Call(ctx, "Scheduler.State", dispatch.StateArgs{ID: id}, &reply, peerTimeout)
+	err := leader.Call(ctx, "Scheduler.State", args, &reply, peerTimeout)
+	s.outlooks.offer(reply.Outlook, asked)
 	return reply, err == nil && reply.Leading
 }
 
@@ -324,7 +358,7 @@
 	if !workload.ValidJobID(string(id)) {
 		return workload.ErrNoJob
 	}
-	if reply, ok := s.schedulerState(ctx, id); !ok || !reply.Known {
+	if reply, ok := s.schedulerState(ctx, dispatch.StateArgs{ID: id}); !ok || !reply.Known {
 		exists, _, err := s.exists(ctx, id)
 		if err != nil {
 			return err
@@ -362,15 +396,20 @@
 }
 
 func (s *Service) schedulerWaiting(ctx context.Context, queue string) dispatch.WaitingReply {
+	args := dispatch.WaitingArgs{Queue: queue, Mark: s.outlooks.mark()}
+	asked := s.clock.now()
 	if term := s.elector.Term(); term != nil {
-		return term.Waiting(queue)
+		reply := term.Waiting(args)
+		s.outlooks.offer(reply.Outlook, asked)
+		return reply
 	}
 	var reply dispatch.WaitingReply
 	if leader := s.elector.Leader(); leader != nil {
-		if err := leader.Call(ctx, "Scheduler.Waiting", dispatch.WaitingArgs{Queue: queue}, &reply, peerTimeout); err != nil {
+		if err := leader.Call(ctx, "Scheduler.Waiting", args, &reply, peerTimeout); err != nil {
 			s.log.Debug().Err(err).Msg("scheduler did not answer")
 			return dispatch.WaitingReply{}
 		}
+		s.outlooks.offer(reply.Outlook, asked)
 	}
 	return reply
 }
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -10,6 +10,7 @@
 
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
+	"persimmonrock.example/structs/scheduling"
 	"persimmonrock.example/wire/dispatch"
 )
 
@@ -345,6 +346,9 @@
 	return term != nil
 }
 
+// Policies returns the scheduling policies in force.
+func (e *Elector) Policies() scheduling.Policies { return e.cfg.Policies }
+
 // Leader returns the link to the process that holds the lease, or nil if the
 // holder is unknown or is this process.
 func (e *Elector) Leader() *dispatch.Link {
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -22,6 +22,9 @@
 // term is loaded, it adds nothing, as the term reads all rows from the store.
 func (t *Term) Note(args dispatch.NoteArgs) {
 	t.mu.Lock()
+	if args.Undecided {
+		t.outlook.undecidedAt = t.deps.Now()
+	}
 	if t.loaded {
 		if args.Job != nil {
 			t.addJob(*args.Job)
@@ -35,12 +38,17 @@
 }
 
 // State returns the stored state of a job.
-func (t *Term) State(id workload.JobID) dispatch.StateReply {
+func (t *Term) State(args dispatch.StateArgs) dispatch.StateReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reply := dispatch.StateReply{Leading: t.loaded && t.deps.Now() < t.validUntil}
-	j := t.jobs[id]
+	reply.Outlook = t.newerOutlook(args.Mark, args.Refusal != nil)
+	j := t.jobs[args.ID]
 	if j == nil {
+		if args.Refusal != nil && reply.Leading && t.hasOutlook(args.Mark) {
+			reply.RefusalConfirmed = true
+			reply.Booked = t.outlook.book(args.Refusal, t.deps.Now())
+		}
 		return reply
 	}
 	reply.Known = true
@@ -54,12 +62,12 @@
 
 // Waiting counts the jobs of a queue that have had no task placed and have not
 // ended.
-func (t *Term) Waiting(queue string) dispatch.WaitingReply {
+func (t *Term) Waiting(args dispatch.WaitingArgs) dispatch.WaitingReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reply := dispatch.WaitingReply{Leading: t.loaded && t.deps.Now() < t.validUntil}
+	reply := dispatch.WaitingReply{Leading: t.loaded && t.deps.Now() < t.validUntil, Outlook: t.newerOutlook(args.Mark, false)}
 	for _, j := range t.active {
-		if j.spec.Queue.Name == queue && !j.started && !j.state.Final() {
+		if j.spec.Queue.Name == args.Queue && !j.started && !j.state.Final() {
 			reply.Waiting++
 		}
 	}
@@ -70,8 +78,11 @@
 type Service struct{ Elector *Elector }
 
 // Note passes a stored job or cancellation to the term of this process, if any.
-func (s *Service) Note(args dispatch.NoteArgs, _ *dispatch.NoteReply) error {
+func (s *Service) Note(args dispatch.NoteArgs, reply *dispatch.NoteReply) error {
 	s.Elector.Note(args)
+	if t := s.Elector.Term(); t != nil {
+		reply.Outlook = t.Outlook(args.Mark)
+	}
 	return nil
 }
 
@@ -79,7 +90,7 @@
 // of this process.
 func (s *Service) State(args dispatch.StateArgs, reply *dispatch.StateReply) error {
 	if t := s.Elector.Term(); t != nil {
-		*reply = t.State(args.ID)
+		*reply = t.State(args)
 	}
 	reply.Process = s.Elector.cfg.Process
 	return nil
@@ -88,7 +99,7 @@
 // Waiting returns the number of a queue's waiting jobs, if this process leads.
 func (s *Service) Waiting(args dispatch.WaitingArgs, reply *dispatch.WaitingReply) error {
 	if t := s.Elector.Term(); t != nil {
-		*reply = t.Waiting(args.Queue)
+		*reply = t.Waiting(args)
 	}
 	return nil
 }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -91,6 +91,8 @@
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
 	learner learner
+	// outlook is the summary of the forecast for the entries.
+	outlook outlookState
 	// savedVersion is the model version last saved, at savedAt.
 	savedVersion uint64
 	savedAt      time.Duration
@@ -192,6 +194,7 @@
 		changed = t.updateDrains() || changed
 		changed = t.evacuateDrained() || changed
 		changed = t.regroup() || changed
+		t.updateOutlook()
 		t.countAgents()
 		t.countDrained()
 		t.mu.Unlock()
--- a/structs/workload/errors.go
+++ b/structs/workload/errors.go
@@ -14,6 +14,8 @@
 	ErrNoQueue = errors.New("no such queue")
 	// ErrNoJob says that the store was read and has no such job.
 	ErrNoJob = errors.New("no such job")
+	// ErrOverloaded says that a job can't end while it is of use to its client.
+	ErrOverloaded = errors.New("the job can't end while it is of use")
 	// ErrUndecided says that a write may or may not take effect. The caller
 	// must retry with the same identifier.
 	ErrUndecided = errors.New("outcome not known")
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -208,13 +208,21 @@
 type NoteArgs struct {
 	Job       *workload.Job
 	Cancelled workload.JobID
+	// Undecided says that it is not known whether a job of the caller is stored.
+	Undecided bool
+	Mark      OutlookMark
 }
 
-// NoteReply is empty.
-type NoteReply struct{}
+// NoteReply carries an outlook if the scheduler has a newer one than the caller.
+type NoteReply struct{ Outlook *Outlook }
 
 // StateArgs requests a job's state.
-type StateArgs struct{ ID workload.JobID }
+type StateArgs struct {
+	ID   workload.JobID
+	Mark OutlookMark
+	// Refusal is set before the caller refuses the job.
+	Refusal *RefusalNotice
+}
 
 // StateReply is the state known to the answering process. Leading is false if
 // that process is not the scheduler. Known is false if the process has no such
@@ -225,6 +233,13 @@
 	Leading bool
 	Known   bool
 	State   workload.State
+	// Outlook is set if the scheduler has a newer one than the caller.
+	Outlook *Outlook
+	// RefusalConfirmed answers StateArgs.Refusal: the process has no such job, and
+	// its outlook holds. Booked is the time until which room is promised to jobs
+	// that were refused before.
+	RefusalConfirmed bool
+	Booked           time.Duration
 }
 
 // YieldArgs asks the scheduler to release its lease to an entry on a stronger
@@ -240,10 +255,15 @@
 type YieldReply struct{ Agreed bool }
 
 // WaitingArgs requests the number of a queue's jobs that have no started task.
-type WaitingArgs struct{ Queue string }
+type WaitingArgs struct {
+	Queue string
+	Mark  OutlookMark
+}
 
 // WaitingReply is the number that WaitingArgs requests.
 type WaitingReply struct {
 	Leading bool
 	Waiting int
+	// Outlook is set if the scheduler has a newer one than the caller.
+	Outlook *Outlook
 }
