Tests of admission under failures; the soak's clients come back when refused

The soak refuses by admission (-soak.admission=false turns it off) and its clients come back by themselves; checks, load, seeds and bounds are unchanged.

--- a/entry/intake/admit.go
+++ b/entry/intake/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"persimmonrock.example/decide/admission"
@@ -117,13 +116,3 @@
 	s.undecidedAt.Store(int64(s.clock.now()))
 	s.notifyScheduler(dispatch.NoteArgs{Undecided: true})
 }
-
-// Overloaded returns the time after which the client of a job that was refused
-// for overload is to come back.
-func Overloaded(err error) (after time.Duration, ok bool) {
-	var unavailable *workload.UnavailableError
-	if errors.Is(err, workload.ErrOverloaded) && errors.As(err, &unavailable) {
-		return unavailable.RetryAfter, true
-	}
-	return 0, false
-}
--- a/sessions/machines/client.go
+++ b/sessions/machines/client.go
@@ -51,10 +51,25 @@
 )
 
 // Submit submits a job in at most tries attempts and reports whether it was
-// accepted.
+// accepted. If the job is refused because it can't end while it is of use, the
+// client comes back when it is told to.
 func (c *Client) Submit(j workload.Job, tries int) bool {
+	for {
+		accepted, comeBack, left := c.Offer(j, tries)
+		if accepted || left == 0 {
+			return accepted
+		}
+		time.Sleep(comeBack)
+		tries = left
+	}
+}
+
+// Offer is like Submit, but returns at once if the job is refused because it
+// can't end while it is of use: with the time after which the client is to come
+// back, and the attempts that are left.
+func (c *Client) Offer(j workload.Job, tries int) (accepted bool, comeBack time.Duration, left int) {
 	c.rules.submitted(j)
-	for range tries {
+	for ; tries > 0; tries-- {
 		service := c.service()
 		if service == nil {
 			time.Sleep(clientRetryDelay)
@@ -67,11 +82,14 @@
 		var unavailable *workload.UnavailableError
 		c.rules.answered(j.ID, err == nil, errors.As(err, &unavailable))
 		if err == nil {
-			return true
+			return true, 0, 0
+		}
+		if errors.Is(err, workload.ErrOverloaded) && unavailable != nil {
+			return false, unavailable.RetryAfter, tries - 1
 		}
 		time.Sleep(clientRetryDelay)
 	}
-	return false
+	return false, 0, 0
 }
 
 func (c *Client) service() Jobs {
--- a/sessions/soak/deployment_test.go
+++ b/sessions/soak/deployment_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +27,8 @@
 	// address.
 	firstPort = 21700
 	heartbeat = 500 * time.Millisecond
+	// admissionPolicies are the entries' policies with -soak.admission.
+	admissionPolicies = `{"forecast": {"enabled": true}, "admission": {"enabled": true}}`
 	// workerRestartDelay is the delay before a worker restarts after a run has
 	// crashed it.
 	workerRestartDelay = 1500 * time.Millisecond
@@ -68,11 +72,19 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
+	program := []string{entryProgram, "entry"}
+	if *admit {
+		path := filepath.Join(dir, "scheduling.hujson")
+		if err := os.WriteFile(path, []byte(admissionPolicies), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		program = append(program, "-scheduling", path)
+	}
 	net := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for n := range entries {
 		m := standin.Machine{Node: fmt.Sprintf("entry-%d", n), IP: fmt.Sprintf("%s.%d", net, 1+n), Port: firstPort, Cores: 0.4}
 		m.Store = d.addRelay(standin.StoreHandler(d.store.Client(m.Node)))
-		d.entries = append(d.entries, startProcess(t, dir, m, entryProgram, "entry"))
+		d.entries = append(d.entries, startProcess(t, dir, m, program...))
 	}
 	for n := range hosts {
 		s := &host{d: d}
--- a/sessions/soak/soak_test.go
+++ b/sessions/soak/soak_test.go
@@ -19,6 +19,7 @@
 	firstSeed        = flag.Uint64("soak.first", 1, "the first seed")
 	faultDuration    = flag.Duration("soak.for", 8*time.Second, "time for which faults are injected per seed")
 	concurrentFaults = flag.Int("soak.beside", 3, "number of concurrent faults")
+	admit            = flag.Bool("soak.admission", true, "refuse jobs that can't end while they are of use")
 	logDir           = flag.String("soak.keep", "", "directory for the logs of failed seeds")
 )
 
@@ -28,6 +29,8 @@
 	// crashInterval, crash their workers.
 	crashingClient = 97
 	crashInterval  = 4 * time.Second
+	// submitTries is the number of attempts to submit a job.
+	submitTries = 4
 	// settleTime is the time after the last fault within which every accepted
 	// job must finish, even if its tasks wait until the last lease of an
 	// unresponsive worker expires.
@@ -87,11 +90,18 @@
 	var crashJobs []workload.JobID
 	group.Go(func() { crashJobs = d.submitCrashingJobs(until) })
 	accepted := make([][]workload.JobID, clients)
+	refused := make([]*refusals, clients)
 	for n := range clients {
-		group.Go(func() { accepted[n] = d.submitJobs(n, until) })
+		refused[n] = &refusals{d: d}
+		group.Go(func() { accepted[n] = d.submitJobs(n, until, refused[n]) })
 	}
 	group.Wait()
-	total := 0
+	total, refusedJobs := 0, 0
+	for _, r := range refused {
+		late, all := r.stop()
+		accepted = append(accepted, late)
+		refusedJobs += all
+	}
 	for _, ids := range accepted {
 		total += len(ids)
 		for id, state := range d.client().Await(ids, settleTime) {
@@ -110,6 +120,7 @@
 	if total == 0 {
 		t.Error("no job was accepted")
 	}
+	t.Logf("%d jobs refused at first", refusedJobs)
 	t.Logf("%d jobs accepted, %d that crash their workers, %d starts, %d crashes", total, len(crashJobs), d.rules.Started, d.rules.Crashes())
 }
 
@@ -125,18 +136,27 @@
 	}
 }
 
-// submitJobs submits jobs one after another and cancels some of them.
-func (d *deployment) submitJobs(client int, until time.Time) []workload.JobID {
+// submitJobs submits jobs one after another and cancels some of them. A job that
+// is refused because it can't end while it is of use comes back by itself, so
+// that the others arrive as if it had been accepted.
+func (d *deployment) submitJobs(client int, until time.Time, r *refusals) []workload.JobID {
 	rng := rand.New(rand.NewPCG(d.seed, 100+uint64(client)))
 	c := d.client()
 	var accepted []workload.JobID
 	for n := 0; time.Now().Before(until); n++ {
 		id := jobID(d.seed, client, n)
-		if !c.Submit(newJob(id, 1+rng.IntN(4)), 4) {
+		j := newJob(id, 1+rng.IntN(4))
+		ok, comeBack, left := c.Offer(j, submitTries)
+		if !ok && comeBack == 0 {
 			continue
 		}
-		accepted = append(accepted, id)
-		if rng.IntN(8) == 0 {
+		cancel := rng.IntN(8) == 0
+		if ok {
+			accepted = append(accepted, id)
+		} else {
+			r.comeBack(j, comeBack, left)
+		}
+		if ok && cancel {
 			c.Cancel(id)
 		}
 		time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
