--- a/entry/intake/admit_test.go
+++ b/entry/intake/admit_test.go
@@ -132,19 +132,19 @@
 }
 
 // submit submits a job with a client's deadline and returns how long it took.
-func (b *bench) submit(ctx context.Context, id workload.JobID) (error, time.Duration) {
+func (b *bench) submit(ctx context.Context, id workload.JobID) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	begun := time.Now()
 	err := b.Submit(ctx, workload.Queue{Name: "q", Stretch: 2, TargetLatency: time.Second}, newJob(id))
-	return err, time.Since(begun)
+	return time.Since(begun), err
 }
 
 // Guards against a refusal after which the job runs, and one that leaves the
 // client without a time to come back.
 func TestOverloadIsRefusedBeforeAnythingIsStored(t *testing.T) {
 	withEntry(t, true, func(ctx context.Context, b *bench) {
-		err, _ := b.submit(ctx, newID)
+		_, err := b.submit(ctx, newID)
 		var unavailable *workload.UnavailableError
 		if !errors.Is(err, workload.ErrOverloaded) || !errors.As(err, &unavailable) || unavailable.RetryAfter < b.stub.reply.Booked {
 			t.Errorf("error %v", err)
@@ -154,7 +154,7 @@
 		}
 	})
 	withEntry(t, false, func(ctx context.Context, b *bench) {
-		if err, _ := b.submit(ctx, newID); err != nil || b.stub.asked.Load() > 0 {
+		if _, err := b.submit(ctx, newID); err != nil || b.stub.asked.Load() > 0 {
 			t.Errorf("without the policy: %v, asked %d times", err, b.stub.asked.Load())
 		}
 	})
@@ -190,7 +190,7 @@
 		t.Run(name, func(t *testing.T) {
 			withEntry(t, true, func(ctx context.Context, b *bench) {
 				c.fail(ctx, b)
-				err, took := b.submit(ctx, newID)
+				took, err := b.submit(ctx, newID)
 				if err != nil || took > bound && name != "the store is slow" {
 					t.Errorf("error %v after %v", err, took)
 				}
@@ -207,7 +207,7 @@
 func TestSilentStoreIsNoRefusalForOverload(t *testing.T) {
 	withEntry(t, true, func(ctx context.Context, b *bench) {
 		b.store.SetFault("entry-1", memstore.Unresponsive)
-		if err, _ := b.submit(ctx, newID); err == nil || errors.Is(err, workload.ErrOverloaded) {
+		if _, err := b.submit(ctx, newID); err == nil || errors.Is(err, workload.ErrOverloaded) {
 			t.Errorf("silent store: %v", err)
 		}
 	})
@@ -220,13 +220,13 @@
 		b.store.SetLost(1, true)
 		room := b.stub.reply
 		b.stub.reply = dispatch.StateReply{Leading: true}
-		if err, _ := b.submit(ctx, newID); !errors.Is(err, workload.ErrUndecided) {
+		if _, err := b.submit(ctx, newID); !errors.Is(err, workload.ErrUndecided) {
 			t.Fatalf("first attempt: %v", err)
 		}
 		b.stub.reply = room
 		for n := range 20 {
 			b.outlooks.offer(overloaded(9, time.Duration(n+3)*time.Second), b.clock.now())
-			if err, _ := b.submit(ctx, newID); errors.Is(err, workload.ErrOverloaded) {
+			if _, err := b.submit(ctx, newID); errors.Is(err, workload.ErrOverloaded) {
 				t.Error("the repeated job is refused")
 			}
 			time.Sleep(500 * time.Millisecond)
