Ends of runs that a new life carried out for the former one

The scheduler applies such ends at the former life before it removes that life. The agent no longer takes a run for certainly begun on a life if only the answer to its start tells so, after a call that failed.

The soak's workers start again under their identifier with -soak.keep-instances.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -47,7 +47,7 @@
 	last := inc.lastConfirmedStart() - lastStartWindow
 	for id, x := range inc.runs {
 		if x.mayHaveBegun() && !x.proven(inc.answeredAt) {
-			begun := x.state == dispatch.RunPresent && !x.inherited && inc.downPromptly()
+			begun := x.state == dispatch.RunPresent && !x.inherited && !x.doubtful && inc.downPromptly()
 			list = append(list, dispatch.SuspectRun{Run: id, Begun: begun, Soon: begun && inc.failedAt > 0 && inc.failedAt-x.presentAt <= promptCrashTime, Last: x.sentAt >= last})
 		}
 	}
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -326,7 +326,7 @@
 		x.checkpoint = s.Checkpoint
 		x.changed = r.recordChange(false)
 	}
-	x.progress = s.Progress
+	x.progress, x.doubtful = s.Progress, false
 	x.recordPresent(s.Progress > 0 || s.Rough > 0, r.deps.Now())
 	r.reportProven(inc, x)
 	if !x.slow && x.straggles(r.deps.Now()) {
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -257,6 +257,7 @@
 		return
 	}
 	x.state = dispatch.RunPresent
+	x.doubtful = inc.unlisted && inc.id.Born() != 0
 	x.confirmedAt = r.deps.Now()
 	x.recordPresent(false, x.confirmedAt)
 	x.workedAt = x.confirmedAt
--- a/agent/runner/reborn.go
+++ b/agent/runner/reborn.go
@@ -49,11 +49,18 @@
 		runs[s.Run] = true
 	}
 	r.mu.Lock()
-	if r.incarnation != nil {
-		r.incarnation.replaced = true
-		for x := range r.incarnation.runs {
+	if former := r.incarnation; former != nil {
+		former.replaced = true
+		for x := range former.runs {
 			runs[x] = true
 		}
+		// What the new life has carried out has not crashed the former one.
+		for _, s := range listing.Running {
+			delete(former.runs, s.Run)
+		}
+		for _, e := range listing.Ended {
+			delete(former.runs, e.Run)
+		}
 	}
 	r.mu.Unlock()
 	for x := range runs {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -189,6 +189,9 @@
 	sentAt time.Duration
 	// inherited says that the run is of an earlier process of this agent.
 	inherited bool
+	// doubtful says that only the answer to its start tells of the run, and that a
+	// new life under the same instance may have given it.
+	doubtful bool
 	// provenReported says that the run was reported as proven (see proven).
 	provenReported bool
 	// calling says that a start of the run is in flight, uncertain that a start
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -197,6 +197,7 @@
 	l.echo = reply.At
 	l.lastContact = t.deps.Now()
 	fresh := freshRuns(reply)
+	t.applyFormerEnds(reply.Worker.ID, reply.Ends)
 	for _, id := range reply.Former {
 		t.removeWorker(id, workerLoss{reason: "its agent reported its end", judged: true, fresh: fresh})
 	}
--- a/sessions/soak/deployment_test.go
+++ b/sessions/soak/deployment_test.go
@@ -56,10 +56,13 @@
 
 // host runs successive incarnations of one worker.
 type host struct {
-	d      *deployment
-	agent  *process
-	mu     sync.Mutex
-	worker *machines.Worker
+	d     *deployment
+	agent *process
+	// instance is the identifier of all lives of the worker with
+	// -soak.keep-instances.
+	instance string
+	mu       sync.Mutex
+	worker   *machines.Worker
 }
 
 func deploy(t *testing.T, seed uint64) *deployment {
@@ -87,7 +90,7 @@
 		d.entries = append(d.entries, startProcess(t, dir, m, program...))
 	}
 	for n := range hosts {
-		s := &host{d: d}
+		s := &host{d: d, instance: fmt.Sprintf("host-%d", n)}
 		s.startWorker()
 		m := standin.Machine{Node: fmt.Sprintf("agent-%d", n), IP: fmt.Sprintf("%s.%d", net, 101+n), Port: firstPort, Cores: 0.24}
 		m.Store = d.addRelay(standin.StoreHandler(d.store.Client(m.Node)))
@@ -128,7 +131,11 @@
 	s.d.incarnations++
 	incarnation := s.d.incarnations
 	s.d.mu.Unlock()
-	info := workload.Worker{ID: workload.WorkerID(fmt.Sprintf("w-%d", incarnation)), Service: queue.Service, Labels: []string{"a", "r1"}, Capacity: capacity}
+	id := workload.WorkerID(fmt.Sprintf("w-%d", incarnation))
+	if *keepInstances {
+		id = workload.NewWorkerID(s.instance, time.Now().UnixMilli()+int64(incarnation))
+	}
+	info := workload.Worker{ID: id, Service: queue.Service, Labels: []string{"a", "r1"}, Capacity: capacity}
 	w := machines.NewWorker(info, s.d.rules, outcome, s.d.seed+uint64(incarnation))
 	w.OnCrash(func() {
 		time.Sleep(workerRestartDelay)
@@ -172,6 +179,12 @@
 	}
 }
 
+// Life implements standin.Reborn.
+func (s *host) Life() workload.WorkerID {
+	info, _ := s.current().Info()
+	return info.ID
+}
+
 // Start implements workerctl.Control. All methods forward to the current
 // incarnation.
 func (s *host) Start(ctx context.Context, worker workload.WorkerID, o workerctl.StartOrder) (workerctl.Clock, error) {
--- a/sessions/soak/soak_test.go
+++ b/sessions/soak/soak_test.go
@@ -20,6 +20,7 @@
 	faultDuration    = flag.Duration("soak.for", 8*time.Second, "time for which faults are injected per seed")
 	concurrentFaults = flag.Int("soak.beside", 3, "number of concurrent faults")
 	admit            = flag.Bool("soak.admission", true, "refuse jobs that can't end while they are of use")
+	keepInstances    = flag.Bool("soak.keep-instances", false, "workers start again under the identifier that they had")
 	logDir           = flag.String("soak.keep", "", "directory for the logs of failed seeds")
 )
 
