--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -25,6 +25,10 @@
 	// endPause bounds the wait until the ends of the last listing are stored. A
 	// listing before that returns at once with the same ends.
 	endPause = 40 * time.Millisecond
+	// seenWindow is the time after a listing for which the same life of the worker
+	// certainly answers: longer than endPause, and shorter than a worker takes to
+	// start again. An agent that was frozen calls later.
+	seenWindow = 55 * time.Millisecond
 	// idleWait bounds the wait for a worker's first report.
 	idleWait = time.Second
 )
@@ -191,7 +195,7 @@
 		// List at once: runs may have ended since the failed call.
 		order.Wait = 0
 	}
-	if inc.unlisted {
+	if inc.unlisted || inc.id.Born() != 0 && r.deps.Now()-inc.listedAt > seenWindow {
 		// A new life under the same instance may answer, whose ends are numbered
 		// anew: it must not drop them.
 		order.Seen = 0
@@ -211,7 +215,7 @@
 	}
 	if r.incarnation == inc {
 		r.recordAnswer(inc)
-		inc.unlisted = false
+		inc.unlisted, inc.listedAt = false, r.deps.Now()
 		r.applyListing(inc, listing, sent)
 	}
 	unstored := len(inc.ends) > 0
