--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -96,6 +96,8 @@
 	// forecaster predicts the ends of jobs; nil if the policy is off.
 	forecaster *forecaster
 	aging      aging
+	// sentOutlook is the summary of the accepted work by which entries admit jobs.
+	sentOutlook outlookState
 	// savedVersion is the model version last saved, at savedAt.
 	savedVersion uint64
 	savedAt      time.Duration
@@ -217,6 +219,7 @@
 		} else {
 			changed = t.regroup() || changed
 		}
+		t.updateOutlook()
 		t.countAgents()
 		t.countDrained()
 		t.measureLayout()
--- a/sessions/soak/deployment_test.go
+++ b/sessions/soak/deployment_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +27,11 @@
 	// address.
 	firstPort = 21700
 	heartbeat = 500 * time.Millisecond
+	// restartGap is the time that a worker takes at least to start again under the
+	// identifier that it had.
+	restartGap = 60 * time.Millisecond
+	// admissionPolicies are the entries' policies with -soak.admission.
+	admissionPolicies = `{"forecast": {"enabled": true}, "admission": {"enabled": true}}`
 	// workerRestartDelay is the delay before a worker restarts after a run has
 	// crashed it.
 	workerRestartDelay = 1500 * time.Millisecond
@@ -52,10 +59,13 @@
 
 // host runs successive incarnations of one worker.
 type host struct {
-	d      *deployment
-	agent  *process
-	mu     sync.Mutex
-	worker *machines.Worker
+	d     *deployment
+	agent *process
+	// instance is the identifier of all lives of the worker with
+	// -soak.keep-instances.
+	instance string
+	mu       sync.Mutex
+	worker   *machines.Worker
 }
 
 func deploy(t *testing.T, seed uint64) *deployment {
@@ -68,14 +78,22 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
+	program := []string{entryProgram, "entry"}
+	if *admit {
+		path := filepath.Join(dir, "scheduling.hujson")
+		if err := os.WriteFile(path, []byte(admissionPolicies), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		program = append(program, "-scheduling", path)
+	}
 	net := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for n := range entries {
 		m := standin.Machine{Node: fmt.Sprintf("entry-%d", n), IP: fmt.Sprintf("%s.%d", net, 1+n), Port: firstPort, Cores: 0.4}
 		m.Store = d.addRelay(standin.StoreHandler(d.store.Client(m.Node)))
-		d.entries = append(d.entries, startProcess(t, dir, m, entryProgram, "entry"))
+		d.entries = append(d.entries, startProcess(t, dir, m, program...))
 	}
 	for n := range hosts {
-		s := &host{d: d}
+		s := &host{d: d, instance: fmt.Sprintf("host-%d", n)}
 		s.startWorker()
 		m := standin.Machine{Node: fmt.Sprintf("agent-%d", n), IP: fmt.Sprintf("%s.%d", net, 101+n), Port: firstPort, Cores: 0.24}
 		m.Store = d.addRelay(standin.StoreHandler(d.store.Client(m.Node)))
@@ -112,11 +130,19 @@
 // startWorker starts a new incarnation of the host's worker and crashes the
 // previous one.
 func (s *host) startWorker() {
+	if before := s.current(); before != nil && *keepInstances {
+		before.Kill()
+		time.Sleep(restartGap)
+	}
 	s.d.mu.Lock()
 	s.d.incarnations++
 	incarnation := s.d.incarnations
 	s.d.mu.Unlock()
-	info := workload.Worker{ID: workload.WorkerID(fmt.Sprintf("w-%d", incarnation)), Service: queue.Service, Labels: []string{"a", "r1"}, Capacity: capacity}
+	id := workload.WorkerID(fmt.Sprintf("w-%d", incarnation))
+	if *keepInstances {
+		id = workload.NewWorkerID(s.instance, time.Now().UnixMilli()+int64(incarnation))
+	}
+	info := workload.Worker{ID: id, Service: queue.Service, Labels: []string{"a", "r1"}, Capacity: capacity}
 	w := machines.NewWorker(info, s.d.rules, outcome, s.d.seed+uint64(incarnation))
 	w.OnCrash(func() {
 		time.Sleep(workerRestartDelay)
@@ -160,6 +186,12 @@
 	}
 }
 
+// Life implements standin.Reborn.
+func (s *host) Life() workload.WorkerID {
+	info, _ := s.current().Info()
+	return info.ID
+}
+
 // Start implements workerctl.Control. All methods forward to the current
 // incarnation.
 func (s *host) Start(ctx context.Context, worker workload.WorkerID, o workerctl.StartOrder) (workerctl.Clock, error) {
