--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -34,18 +34,9 @@
 	return a.worker
 }
 
-// restartGap is the time that a worker takes at least to start again under its
-// instance identifier. It is longer than the pause between two calls of an agent,
-// so that a call fails meanwhile.
-const restartGap = 60 * time.Millisecond
-
 // NewWorker starts a new incarnation of the worker; the previous one crashes.
 func (a *Agent) NewWorker() {
 	sim := a.simulation
-	if before := a.Worker(); before != nil && sim.opt.KeepInstances {
-		before.Kill()
-		time.Sleep(restartGap)
-	}
 	sim.mu.Lock()
 	sim.incarnations++
 	incarnation := sim.incarnations
--- a/sessions/machines/reborn_test.go
+++ b/sessions/machines/reborn_test.go
@@ -47,6 +47,10 @@
 	}
 }
 
+// restartGap is the time that a worker takes to start again. It is longer than
+// the pause between two calls of an agent.
+const restartGap = 60 * time.Millisecond
+
 // Guards against a task that runs twice because the new life of a worker carries
 // out an order to the former one to its end before the agent hears of the new
 // life. The runs take a twentieth of a second.
@@ -59,7 +63,7 @@
 				a := sim.Agents()[n/75%3]
 				a.SetReportsLost(true)
 				a.Worker().SetLost(0.5)
-				time.AfterFunc(second/10, a.NewWorker)
+				time.AfterFunc(second/10, func() { a.Worker().Kill(); time.Sleep(restartGap); a.NewWorker() })
 				time.AfterFunc(second/2, func() { a.SetReportsLost(false) })
 			}
 			submit(t, c, job(10+n, 12))
--- a/sessions/soak/deployment_test.go
+++ b/sessions/soak/deployment_test.go
@@ -27,9 +27,6 @@
 	// address.
 	firstPort = 21700
 	heartbeat = 500 * time.Millisecond
-	// restartGap is the time that a worker takes at least to start again under the
-	// identifier that it had.
-	restartGap = 60 * time.Millisecond
 	// admissionPolicies are the entries' policies with -soak.admission.
 	admissionPolicies = `{"forecast": {"enabled": true}, "admission": {"enabled": true}}`
 	// workerRestartDelay is the delay before a worker restarts after a run has
@@ -130,10 +127,6 @@
 // startWorker starts a new incarnation of the host's worker and crashes the
 // previous one.
 func (s *host) startWorker() {
-	if before := s.current(); before != nil && *keepInstances {
-		before.Kill()
-		time.Sleep(restartGap)
-	}
 	s.d.mu.Lock()
 	s.d.incarnations++
 	incarnation := s.d.incarnations
