Ends are acknowledged only on a connection on which their life has answered

Cause: a worker that starts again under its instance numbers its ends anew.

Change: the number counts for the life that the call names (workerctl.HoldOrder). The time of 55 ms is gone. The stand-in worker compares the life that the call names; the stand-in over HTTP gives a connection to the life that accepts it and ends it without an answer after that life.

--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -25,10 +25,6 @@
 	// endPause bounds the wait until the ends of the last listing are stored. A
 	// listing before that returns at once with the same ends.
 	endPause = 40 * time.Millisecond
-	// seenWindow is the time after a listing for which the same life of the worker
-	// certainly answers: longer than endPause, and shorter than a worker takes to
-	// start again. An agent that was frozen calls later.
-	seenWindow = 55 * time.Millisecond
 	// idleWait bounds the wait for a worker's first report.
 	idleWait = time.Second
 )
@@ -195,11 +191,6 @@
 		// List at once: runs may have ended since the failed call.
 		order.Wait = 0
 	}
-	if inc.unlisted || inc.id.Born() != 0 && r.deps.Now()-inc.listedAt > seenWindow {
-		// A new life under the same instance may answer, whose ends are numbered
-		// anew: it must not drop them.
-		order.Seen = 0
-	}
 	callCtx, cancel := context.WithTimeout(ctx, order.Wait+inc.answers.timeout(inc.failures+1))
 	r.mu.Unlock()
 	defer cancel()
@@ -215,7 +206,7 @@
 	}
 	if r.incarnation == inc {
 		r.recordAnswer(inc)
-		inc.unlisted, inc.listedAt = false, r.deps.Now()
+		inc.unlisted = false
 		r.applyListing(inc, listing, sent)
 	}
 	unstored := len(inc.ends) > 0
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -123,8 +123,6 @@
 	replaced bool
 	// unlisted says that the worker has not listed its runs since a call failed.
 	unlisted bool
-	// listedAt is the time of the latest listing.
-	listedAt time.Duration
 	clock    clockReading
 	// answeredAt is the time of the worker's last answer.
 	answeredAt time.Duration
--- a/infra/workerctl/workerctl.go
+++ b/infra/workerctl/workerctl.go
@@ -38,7 +38,9 @@
 	Lease Clock
 	Token uint64
 	// Seen is the highest number of an end whose effect is stored; the worker
-	// drops the ends up to this number.
+	// drops the ends up to this number. It counts for the life that the call
+	// names and for no other life of the same instance, whose ends are numbered
+	// anew.
 	Seen uint64
 	// Wait is how long the worker may delay its answer until another run ends.
 	Wait time.Duration
--- a/sessions/machines/worker.go
+++ b/sessions/machines/worker.go
@@ -408,10 +408,14 @@
 	if o.Lease > 0 {
 		w.extendLease(o.Lease)
 	}
-	w.dropAcknowledged(o.Seen)
+	seen := o.Seen
+	if incarnation != w.info.ID {
+		seen = 0
+	}
+	w.dropAcknowledged(seen)
 	wait, number, changed := o.Wait, w.number, w.changed
 	w.mu.Unlock()
-	if wait > 0 && number <= o.Seen {
+	if wait > 0 && number <= seen {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
--- a/sessions/soak/deployment_test.go
+++ b/sessions/soak/deployment_test.go
@@ -86,15 +86,17 @@
 	net := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for n := range entries {
 		m := standin.Machine{Node: fmt.Sprintf("entry-%d", n), IP: fmt.Sprintf("%s.%d", net, 1+n), Port: firstPort, Cores: 0.4}
-		m.Store = d.addRelay(standin.StoreHandler(d.store.Client(m.Node)))
+		m.Store = d.addRelay(httptest.NewUnstartedServer(standin.StoreHandler(d.store.Client(m.Node))))
 		d.entries = append(d.entries, startProcess(t, dir, m, program...))
 	}
 	for n := range hosts {
 		s := &host{d: d, instance: fmt.Sprintf("host-%d", n)}
 		s.startWorker()
 		m := standin.Machine{Node: fmt.Sprintf("agent-%d", n), IP: fmt.Sprintf("%s.%d", net, 101+n), Port: firstPort, Cores: 0.24}
-		m.Store = d.addRelay(standin.StoreHandler(d.store.Client(m.Node)))
-		m.Worker = d.addRelay(standin.WorkerHandler(s))
+		m.Store = d.addRelay(httptest.NewUnstartedServer(standin.StoreHandler(d.store.Client(m.Node))))
+		worker := httptest.NewUnstartedServer(standin.WorkerHandler(s))
+		worker.Config.ConnContext = standin.WorkerConns(s)
+		m.Worker = d.addRelay(worker)
 		s.agent = startProcess(t, dir, m, agentProgram)
 		d.agents = append(d.agents, s.agent)
 		d.hosts = append(d.hosts, s)
@@ -103,9 +105,9 @@
 	return d
 }
 
-// addRelay serves h behind a relay and returns the relay's address.
-func (d *deployment) addRelay(h http.Handler) string {
-	s := httptest.NewServer(h)
+// addRelay starts s behind a relay and returns the relay's address.
+func (d *deployment) addRelay(s *httptest.Server) string {
+	s.Start()
 	d.t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
