Entries count their calls of the store by kind and table, and log them

The figures of the fleet said how many calls the store answers, not who makes them and what they carry. store.calls now has calls and bytes by kind of call and table, and a line has them each 20 s.

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -15,6 +15,7 @@
 	"persimmonrock.example/entry/scheduler"
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore/settle"
+	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/platform/front"
 	"persimmonrock.example/platform/operator"
 	policyclient "persimmonrock.example/platform/policy"
@@ -94,11 +95,12 @@
 		"intake":       func() any { return service.Counters.Figures() },
 		"queue_config": func() any { return config.Figures() },
 		"scheduler":    func() any { return counters.Figures() },
-		"store":        func() any { return map[string]int64{"calls": direct.Calls(), "relayed": relayed.Relayed()} },
+		"store":        func() any { return map[string]any{"calls": direct.Usage(), "relayed": relayed.Relayed()} },
 	})
 	p.log.Info().Str("clients", p.settings.ClientListen).Str("peers", p.peerAddress()).Msg("entry started")
 	// Store calls are still relayed and the configuration is still read after a
 	// stop, while open calls are answered.
+	go p.logStoreCalls(ctx, direct)
 	go relayed.Run(context.WithoutCancel(ctx), p.settings.Node)
 	go config.Run(context.WithoutCancel(ctx))
 	elector.Run(ctx)
@@ -106,6 +108,20 @@
 	return p.stopEntry(service, clients)
 }
 
+// storeLogInterval is the time between two log lines on the calls of the store.
+const storeLogInterval = 20 * time.Second
+
+// logStoreCalls logs the calls of the store so far until ctx ends.
+func (p *program) logStoreCalls(ctx context.Context, client *store.Client) {
+	for wait.For(ctx, storeLogInterval) {
+		line := p.log.Info()
+		for use, u := range client.Usage() {
+			line = line.Ints64(use, []int64{u.Calls, u.Bytes})
+		}
+		line.Msg("calls and bytes of the store since the start")
+	}
+}
+
 // stopEntry keeps serving clients for lingerAfterStop, then closes their
 // connections as soon as these have no open call.
 func (p *program) stopEntry(service *intake.Service, clients *http.Server) error {
