Entries ask the lease's holder, and read the lease only if it does not confirm it

Change: an entry asks the holder at the same interval (Scheduler.Lease). The answer names the version that the holder last stored and the time since it sent that transaction. Nobody else can have taken a lease that was renewed within the last second, since each entry waits for at least that long after it has seen a renewal, so such an answer stands for a read. Without an answer within 50 ms, the lease is read beside the question, as before; a frozen, cut off or replaced holder, one that can't renew, and one of an earlier version confirm nothing.

An address that refuses connections now also bounds when its process last sent anything.

admit_test: an entry that is cut from the scheduler now also loses the connection that it has, as the name of the case says; it was open before only by chance, for nothing had used it.

--- a/entry/intake/admit_test.go
+++ b/entry/intake/admit_test.go
@@ -74,11 +74,7 @@
 		defer func() {
 			cancel()
 			time.Sleep(frozenFor) // calls in flight
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			for _, c := range b.conns {
-				c.Close()
-			}
+			b.closeConns()
 		}()
 		began := time.Now()
 		now := func() time.Duration { return time.Since(began) + time.Second }
@@ -111,6 +107,20 @@
 	})
 }
 
+// cut ends the connections to the scheduler and prevents new ones.
+func (b *bench) cut() {
+	b.unreach.Store(true)
+	b.closeConns()
+}
+
+func (b *bench) closeConns() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.conns {
+		c.Close()
+	}
+}
+
 func (b *bench) dial(context.Context) (net.Conn, error) {
 	if b.unreach.Load() {
 		return nil, errors.New("no route")
@@ -169,10 +179,10 @@
 		// asked says that the scheduler is asked.
 		asked bool
 	}{
-		"the scheduler is killed":               {fail: func(_ context.Context, b *bench) { b.unreach.Store(true) }},
+		"the scheduler is killed":               {fail: func(_ context.Context, b *bench) { b.cut() }},
 		"the scheduler is frozen":               {asked: true, fail: func(_ context.Context, b *bench) { b.stub.frozen = true }},
 		"the scheduler is cut from the store":   {asked: true, fail: func(_ context.Context, b *bench) { b.stub.reply = dispatch.StateReply{} }},
-		"the entry is cut from the scheduler":   {fail: func(_ context.Context, b *bench) { b.unreach.Store(true) }},
+		"the entry is cut from the scheduler":   {fail: func(_ context.Context, b *bench) { b.cut() }},
 		"a new scheduler has no outlook yet":    {asked: true, fail: func(_ context.Context, b *bench) { b.stub.reply = dispatch.StateReply{Leading: true} }},
 		"the newest outlook has room":           {asked: true, fail: func(_ context.Context, b *bench) { b.stub.reply.Outlook = &dispatch.Outlook{Epoch: 9, At: time.Minute} }},
 		"the scheduler has the job":             {asked: true, fail: func(_ context.Context, b *bench) { b.stub.reply = dispatch.StateReply{Leading: true, Known: true} }},
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -196,6 +196,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.validUntil = max(t.validUntil, sent+validFor)
+	t.renewal = renewal{version: version, sent: sent}
 	if at.Now > 0 {
 		t.storeClock = storeClock{store: at.Now, local: t.deps.Now()}
 	}
--- a/entry/scheduler/earliergrants.go
+++ b/entry/scheduler/earliergrants.go
@@ -20,10 +20,14 @@
 }
 
 // earlierGrants returns the bound for a term that replaces the lease row last read.
-// Its holder sent the transaction that wrote the row before firstRead, and no later
-// one was stored.
+// Its holder sent the transaction that wrote the row before firstRead, and before
+// its address refused connections, and no later one was stored.
 func (e *Elector) earlierGrants(w *watch, lease leaseRow) earlierGrants {
-	g := earlierGrants{end: w.firstRead + validFor + time.Duration(clockDrift*float64(validFor)) + e.cfg.leaseLength()}
+	sentBefore := w.firstRead
+	if w.endedAt > 0 && w.ended == lease.Process {
+		sentBefore = min(sentBefore, w.endedAt)
+	}
+	g := earlierGrants{end: sentBefore + validFor + time.Duration(clockDrift*float64(validFor)) + e.cfg.leaseLength()}
 	if lease.Released {
 		g.releasedBy, g.releasedAt = lease.Epoch, w.firstRead
 	}
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// pollEvery is the time between two reads of the lease.
+	// pollEvery is the time between two looks at the lease.
 	pollEvery = 400 * time.Millisecond
 	// staleAfter is the time without a renewal after which the lease is taken
 	// over, if successful reads in that time were at most maxReadGap apart. The
@@ -88,6 +88,10 @@
 	// request was answered since unansweredSince; each is 0 otherwise.
 	refusedSince    time.Duration
 	unansweredSince time.Duration
+	// ended is the last holder whose address has refused a connection, at endedAt:
+	// the process has ended, and has sent nothing since.
+	ended   string
+	endedAt time.Duration
 	// freeSince is when the lease was first found free.
 	freeSince time.Duration
 	// readTime is the duration of the latest read.
@@ -105,17 +109,44 @@
 	return min(pingTimeout, max(minPingTimeout, w.unansweredSince+unansweredAfter-now))
 }
 
-func (w *watch) pause() time.Duration {
-	if w.unansweredSince > 0 || w.freeSince > 0 {
+// pause returns the time until the next look at the lease.
+func (w *watch) pause(now time.Duration) time.Duration {
+	switch {
+	case now < w.successorUntil:
+		return successorPoll
+	case w.unansweredSince > 0 || w.freeSince > 0:
 		return freePoll
 	}
 	return pollEvery
 }
 
+// record records that the lease had the version at now.
+func (w *watch) record(version uint64, now time.Duration) {
+	if version != w.version || w.firstRead == 0 {
+		w.firstRead = now
+	}
+	if version != w.version || w.versionSince == 0 || now-w.lastRead > maxReadGap {
+		w.version, w.versionSince = version, now
+		w.resetHolder()
+	}
+	if w.watchedSince == 0 || now-w.lastRead > maxReadGap {
+		w.watchedSince = now
+	}
+	w.lastRead = now
+}
+
 // Run watches the lease and serves terms until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
 	var w watch
 	for ctx.Err() == nil {
+		q := e.ask(ctx, w.answerTimeout(e.deps.Now()))
+		if e.confirmed(&w, q) {
+			if e.requestLease(ctx, &w, e.knownLease()) {
+				w.successorUntil = e.deps.Now() + successorWait
+			}
+			wait.For(ctx, w.pause(e.deps.Now()))
+			continue
+		}
 		asked := e.deps.Now()
 		row, err := rowstore.Get(ctx, e.deps.Store, leaseKey)
 		if err != nil {
@@ -124,7 +155,7 @@
 		}
 		w.readTime = e.deps.Now() - asked
 		lease, ok := e.observe(&w, row)
-		if ok && e.shouldTake(ctx, &w, lease) {
+		if ok && e.shouldTake(ctx, &w, lease, q) {
 			if term := e.acquire(ctx, row, e.earlierGrants(&w, lease)); term != nil {
 				e.serve(ctx, term)
 				w = watch{}
@@ -134,11 +165,7 @@
 		if ok && e.requestLease(ctx, &w, lease) {
 			w.successorUntil = e.deps.Now() + successorWait
 		}
-		if e.deps.Now() < w.successorUntil {
-			wait.For(ctx, successorPoll)
-			continue
-		}
-		wait.For(ctx, w.pause())
+		wait.For(ctx, w.pause(e.deps.Now()))
 	}
 }
 
@@ -147,8 +174,10 @@
 func (e *Elector) Follow(ctx context.Context) {
 	var w watch
 	for ctx.Err() == nil {
-		if row, err := rowstore.Get(ctx, e.deps.Store, leaseKey); err == nil {
-			e.observe(&w, row)
+		if !e.confirmed(&w, e.ask(ctx, pingTimeout)) {
+			if row, err := rowstore.Get(ctx, e.deps.Store, leaseKey); err == nil {
+				e.observe(&w, row)
+			}
 		}
 		wait.For(ctx, pollEvery/4)
 	}
@@ -156,18 +185,7 @@
 
 // observe records one read. It returns false if the row can't be decoded.
 func (e *Elector) observe(w *watch, row rowstore.Row) (leaseRow, bool) {
-	now := e.deps.Now()
-	if row.Version != w.version || w.firstRead == 0 {
-		w.firstRead = now
-	}
-	if row.Version != w.version || w.versionSince == 0 || now-w.lastRead > maxReadGap {
-		w.version, w.versionSince = row.Version, now
-		w.resetHolder()
-	}
-	if w.watchedSince == 0 || now-w.lastRead > maxReadGap {
-		w.watchedSince = now
-	}
-	w.lastRead = now
+	w.record(row.Version, e.deps.Now())
 	var lease leaseRow
 	if row.Version == 0 {
 		return lease, true
@@ -204,8 +222,8 @@
 // behind, and some seconds later hands the lease to a stronger machine. The
 // handover pauses scheduling again. So an entry on a weaker machine than the
 // last holder's waits until the lease has been free for weakerWait.
-func (e *Elector) shouldTake(ctx context.Context, w *watch, lease leaseRow) bool {
-	if !e.leaseFree(ctx, w, lease) {
+func (e *Elector) shouldTake(ctx context.Context, w *watch, lease leaseRow, q *question) bool {
+	if !e.leaseFree(ctx, w, lease, q) {
 		w.freeSince = 0
 		return false
 	}
@@ -220,7 +238,7 @@
 // leaseFree reports whether the lease may be taken: it was never taken, is
 // released and not reserved for another entry, belongs to this machine, or its
 // holder is gone or has not renewed it for staleAfter.
-func (e *Elector) leaseFree(ctx context.Context, w *watch, lease leaseRow) bool {
+func (e *Elector) leaseFree(ctx context.Context, w *watch, lease leaseRow, q *question) bool {
 	unchanged := e.deps.Now() - w.versionSince
 	if lease.Released && e.reservedForSuccessor(lease, unchanged) {
 		return false
@@ -234,24 +252,28 @@
 	if unchanged >= staleAfter {
 		return true
 	}
-	return e.holderGone(ctx, w, lease, unchanged)
+	return e.holderGone(ctx, w, lease, q)
 }
 
-// holderGone calls the holder, and reports whether it counts as gone: another
-// process answers, or refusedAfter or unansweredAfter has passed.
-func (e *Elector) holderGone(ctx context.Context, w *watch, lease leaseRow, unchanged time.Duration) bool {
-	e.mu.Lock()
-	link := e.link
-	e.mu.Unlock()
-	asked := e.deps.Now()
-	var reply dispatch.StateReply
-	err := link.Call(ctx, "Scheduler.State", dispatch.StateArgs{}, &reply, w.answerTimeout(asked))
-	if err == nil && reply.Process != lease.Process {
+// holderGone awaits the holder's answer to q, or asks it if q went to another
+// process. It reports whether the holder counts as gone: another process
+// answers, or refusedAfter or unansweredAfter has passed.
+func (e *Elector) holderGone(ctx context.Context, w *watch, lease leaseRow, q *question) bool {
+	unchanged := e.deps.Now() - w.versionSince
+	if q == nil || q.process != lease.Process {
+		q = e.ask(ctx, w.answerTimeout(e.deps.Now()))
+	}
+	if q == nil {
+		return false
+	}
+	<-q.done
+	asked, err := q.asked, q.err
+	if err == nil && q.reply.Process != lease.Process {
 		// The holder was killed, and its machine runs another process now.
 		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
-	if err == nil {
+	if err == nil || q.ofOtherVersion() {
 		w.refusedSince, w.unansweredSince = 0, 0
 		return false
 	}
@@ -323,6 +345,14 @@
 // releaseTimeout bounds the release of the lease at the end of a term.
 const releaseTimeout = 600 * time.Millisecond
 
+// knownLease returns the lease as last read or written; its count may be older
+// than the last renewal.
+func (e *Elector) knownLease() leaseRow {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader
+}
+
 // Term returns the term that this process serves, or nil without a ready term.
 func (e *Elector) Term() *Term {
 	e.mu.Lock()
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -96,6 +96,13 @@
 	return nil
 }
 
+// Lease tells whether this process holds the lease.
+func (s *Service) Lease(_ dispatch.LeaseArgs, reply *dispatch.LeaseReply) error {
+	reply.Process = s.Elector.cfg.Process
+	reply.Version, reply.Age = s.Elector.heldLease()
+	return nil
+}
+
 // Waiting returns the number of a queue's waiting jobs, if this process leads.
 func (s *Service) Waiting(args dispatch.WaitingArgs, reply *dispatch.WaitingReply) error {
 	if t := s.Elector.Term(); t != nil {
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -136,7 +136,9 @@
 
 	lease        leaseRow
 	leaseVersion uint64
-	storeClock   storeClock
+	// renewal is the last stored renewal of the lease, for other entries.
+	renewal    renewal
+	storeClock storeClock
 }
 
 // storeClock maps the store's clock to this process's.
@@ -151,6 +153,7 @@
 		cfg: cfg, deps: deps, epoch: version, beganAt: deps.Now(), earlier: earlier, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		adviceRequests: make(chan adviceRequest, adviceQueue), jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{},
 		earlyCancels: map[workload.JobID]bool{}, lostRuns: map[string]time.Duration{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
+		renewal:    renewal{version: version, sent: sent},
 		storeClock: storeClock{store: at.Now, local: deps.Now()},
 	}
 	if cfg.Policies.Forecast.Enabled {
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -259,6 +259,20 @@
 	Booked           time.Duration
 }
 
+// LeaseArgs asks a process whether it holds the scheduler's lease.
+type LeaseArgs struct{}
+
+// LeaseReply is what the answering process knows of its own lease.
+type LeaseReply struct {
+	// Process is the answering process.
+	Process string
+	// Version is the version of the lease that the process last took or renewed,
+	// and Age the time since it sent that transaction; Version is 0 if the process
+	// does not hold the lease.
+	Version uint64
+	Age     time.Duration
+}
+
 // YieldArgs asks the scheduler to release its lease to an entry on a stronger
 // machine.
 type YieldArgs struct {
