Entries follow the operator's rows through the scheduler's entry

Cause: each entry holds a feed of the operator's rows for half a second, all the time, and reads the whole configuration at each change: 184 entries make 370 calls a second to learn mostly that nothing has changed, and a change of 52 KB moves 10 MB out of the store.

Change: entry/watch. The entry that schedules reads the feed and passes each of the store's answers on to the others as it comes; values are packed. Each answer carries its age, which adds up on the way, so nobody takes an old state for the present one: an entry that is told nothing, or nothing younger than a second, reads the store itself, at once and until it is told again. The hub answers only for versions since its own list, as it does not know what was deleted before.

The feed was also how an entry noticed that the store no longer serves it. A transaction that is not answered within 60 ms now checks the path beside it, and goes through another entry if only that one gets answers.

Tests: entry/watch (reads of 4 and 40 entries are the same; silent source, source without the store, deletions, versions that are not known, ages).

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -13,6 +13,7 @@
 	"persimmonrock.example/entry/intake"
 	"persimmonrock.example/entry/relay"
 	"persimmonrock.example/entry/scheduler"
+	"persimmonrock.example/entry/watch"
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore/settle"
 	"persimmonrock.example/infra/wait"
@@ -66,9 +67,13 @@
 	relayed := relay.New(direct, p.peerAddress(), dispatch.NewLink, p.log)
 	rows := settle.New(relayed)
 	clock := intake.NewStoreClock(sinceBoot)
-	config := intake.NewFollower(relayed.Reader(direct.WithIdleTimeout(configTimeout)), intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
+	var elector *scheduler.Elector
+	leader := func() *dispatch.Link { return elector.Leader() }
+	hub := watch.NewHub(operator.ConfigKey.Table, sinceBoot)
+	operatorRows := watch.NewReader(relayed.Reader(direct.WithIdleTimeout(configTimeout)), hub, leader)
+	config := intake.NewFollower(operatorRows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
 	counters := &scheduler.Counters{}
-	elector := scheduler.NewElector(scheduler.Config{
+	elector = scheduler.NewElector(scheduler.Config{
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(), Power: p.settings.Cores,
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status,
 		Policies: p.policies, MoveCosts: scheduler.MoveCosts{Stop: p.settings.Bounds.Stop, Restore: p.settings.Bounds.Restore},
@@ -81,6 +86,9 @@
 	if err := server.RegisterName("Relay", relayed.Service()); err != nil {
 		return err
 	}
+	if err := server.RegisterName("Watch", hub.Service()); err != nil {
+		return err
+	}
 	if err := p.servePeers(server); err != nil {
 		return err
 	}
@@ -94,6 +102,7 @@
 	p.serveMetrics(map[string]func() any{
 		"intake":       func() any { return service.Counters.Figures() },
 		"queue_config": func() any { return config.Figures() },
+		"watch":        func() any { return operatorRows.Counters.Figures() },
 		"scheduler":    func() any { return counters.Figures() },
 		"store":        func() any { return map[string]any{"calls": direct.Usage(), "relayed": relayed.Relayed()} },
 	})
--- a/entry/relay/directpath.go
+++ b/entry/relay/directpath.go
@@ -90,6 +90,22 @@
 	})
 }
 
+// checkAfter is the time without an answer after which a transaction checks the
+// direct path.
+const checkAfter = 60 * time.Millisecond
+
+// checkPath marks the direct path as lost if only another entry gets an answer.
+// One check runs at a time.
+func (s *Store) checkPath(ctx context.Context) {
+	if !s.checking.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.checking.Store(false)
+	if s.compare(ctx) == onlyPeerAnswered {
+		s.markLost(errNoResponse)
+	}
+}
+
 // callError returns ErrUnavailable for a call that was never sent, and
 // ErrUnknown for a call that may have been carried out.
 func callError(err error) error {
@@ -118,7 +134,7 @@
 	viaPeer := func() answer { return s.callPeer(ctx, p, peerCall) }
 	lost := s.lostSignal()
 	if lost != nil {
-		return directUntilLost(ctx, callDirect, viaPeer, lost)
+		return s.directUntilLost(ctx, callDirect, viaPeer, lost)
 	}
 	second := callDirect
 	if other := s.choosePeer(p); other != nil {
@@ -151,9 +167,14 @@
 // call would wait for its whole time-out, 1.5 s, before it takes another path;
 // the scheduler would place nothing meanwhile, and clients' short jobs would
 // end late. So the first call that times out notifies the others.
-func directUntilLost(ctx context.Context, direct, viaPeer func() answer, lost <-chan struct{}) answer {
+//
+// A call that is not answered soon checks the path by itself: an entry that is
+// told what changes makes no other calls that would show the loss.
+func (s *Store) directUntilLost(ctx context.Context, direct, viaPeer func() answer, lost <-chan struct{}) answer {
 	answers := make(chan answer, 2)
 	go func() { answers <- direct() }()
+	check := time.AfterFunc(checkAfter, func() { s.checkPath(ctx) })
+	defer check.Stop()
 	select {
 	case first := <-answers:
 		return tryNext(ctx, first, viaPeer)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -77,6 +77,8 @@
 	wake chan struct{}
 
 	relayed atomic.Int64
+	// checking is set while checkPath runs.
+	checking atomic.Bool
 }
 
 type peer struct {
--- /dev/null
+++ b/entry/watch/reader.go
@@ -0,0 +1,123 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"persimmonrock.example/infra/progress"
+	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/wire/dispatch"
+)
+
+const (
+	// maxAge is the age of a told state beyond which the entry reads the store
+	// itself. A store that answers is read each half second, and a slow one takes
+	// a third of a second to answer.
+	maxAge = time.Second
+	// tellTimeout bounds the answer of the other entry, in addition to the wait.
+	tellTimeout = 250 * time.Millisecond
+	// askAgain is the time for which an entry reads the store itself after it was
+	// told nothing.
+	askAgain = 500 * time.Millisecond
+)
+
+// errNotTold means that the other entry knows no fresh state.
+var errNotTold = errors.New("the other entry has no fresh state of the table")
+
+// Reader is a rowstore.Reader of a hub's table. It follows the table through the
+// scheduler's entry, and through the store while that tells nothing.
+type Reader struct {
+	store rowstore.Reader
+	hub   *Hub
+	// source returns the link to the entry to follow, or nil if there is none.
+	source func() *dispatch.Link
+	// directUntil is when the other entry is asked again. Feed is not called
+	// concurrently.
+	directUntil time.Duration
+	Counters    Counters
+}
+
+// Counters count the reads of a Reader by their source.
+type Counters struct{ Told, Direct atomic.Int64 }
+
+// Figures returns the counters for display.
+func (c *Counters) Figures() map[string]any {
+	return map[string]any{"told": c.Told.Load(), "direct": c.Direct.Load()}
+}
+
+var _ rowstore.Reader = (*Reader)(nil)
+
+// NewReader returns a reader that reads from store, records all answers in hub,
+// and follows the entry that source returns.
+func NewReader(store rowstore.Reader, hub *Hub, source func() *dispatch.Link) *Reader {
+	return &Reader{store: store, hub: hub, source: source}
+}
+
+// List implements rowstore.Reader. It always reads the store.
+func (r *Reader) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
+	r.Counters.Direct.Add(1)
+	asked := r.hub.now()
+	rows, more, at, err := r.store.List(ctx, table, part, from, to)
+	if err == nil && table == r.hub.table && from == "" && to == "" && !more {
+		r.hub.recordList(rows, at, asked)
+	}
+	return rows, more, at, err
+}
+
+// Feed implements rowstore.Reader.
+func (r *Reader) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
+	source := r.source()
+	if source != nil && table == r.hub.table && r.hub.now() >= r.directUntil {
+		rows, at, err := r.askSource(ctx, source, table, after, wait)
+		if err == nil || ctx.Err() != nil {
+			return rows, at, err
+		}
+		r.directUntil = r.hub.now() + askAgain
+		// The other entry's silence has used up the wait.
+		wait = 0
+		progress.Received(ctx)
+	}
+	r.Counters.Direct.Add(1)
+	confirmed := r.hub.now()
+	rows, at, err := r.store.Feed(ctx, table, after, wait)
+	if err == nil && table == r.hub.table {
+		if len(rows) == 0 {
+			// Without changes, the state is current at the end of the wait.
+			confirmed = min(confirmed+wait, r.hub.now())
+		}
+		r.hub.recordChanges(after, rows, at, confirmed)
+	}
+	return rows, at, err
+}
+
+// askSource asks the other entry for changes.
+func (r *Reader) askSource(ctx context.Context, source *dispatch.Link, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
+	var reply dispatch.ChangesReply
+	args := dispatch.ChangesArgs{Table: table, After: after, Wait: wait}
+	asked := r.hub.now()
+	if err := source.Call(ctx, "Watch.Next", args, &reply, wait+tellTimeout); err != nil {
+		return nil, rowstore.Stamp{}, eris.Wrapf(err, "changes of %s", table)
+	}
+	// The state had its age when the answer was sent, Waited after asked at the
+	// earliest.
+	confirmed := asked + reply.Waited - reply.At.Age
+	reply.At.Age = r.hub.now() - confirmed
+	if !reply.Known || reply.At.Age > maxAge {
+		return nil, rowstore.Stamp{}, eris.Wrapf(errNotTold, "changes of %s at %s", table, source.Address())
+	}
+	for i := range reply.Rows {
+		value, err := dispatch.Unpack(reply.Rows[i].Value)
+		if err != nil {
+			return nil, rowstore.Stamp{}, eris.Wrapf(err, "changes of %s at %s", table, source.Address())
+		}
+		reply.Rows[i].Value = value
+	}
+	progress.Received(ctx)
+	r.Counters.Told.Add(1)
+	r.hub.recordChanges(after, reply.Rows, reply.At, confirmed)
+	return reply.Rows, reply.At, nil
+}
--- a/infra/rowstore/rowstore.go
+++ b/infra/rowstore/rowstore.go
@@ -68,6 +68,9 @@
 	Version uint64
 	// Now is a monotonic clock of the store.
 	Now time.Duration
+	// Age is the time since the answer was current, if another process has passed
+	// it on; 0 for an answer that came from the store.
+	Age time.Duration
 }
 
 // Store is the client's view of the store. Errors: *ConflictError,
--- a/sessions/machines/entry.go
+++ b/sessions/machines/entry.go
@@ -11,10 +11,12 @@
 	"persimmonrock.example/entry/intake"
 	"persimmonrock.example/entry/relay"
 	"persimmonrock.example/entry/scheduler"
+	"persimmonrock.example/entry/watch"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/rowstore/memstore"
 	"persimmonrock.example/infra/rowstore/settle"
 	"persimmonrock.example/infra/wait"
+	"persimmonrock.example/wire/dispatch"
 )
 
 // Entry is the simulated machine of an entry process.
@@ -60,8 +62,11 @@
 	rows := settle.New(indirect)
 	clock := intake.NewStoreClock(sim.now)
 	configStore := &nodeStore{Store: sim.Store.ClientWithIdleTimeout(e.Node, configIdleTimeout), simulation: sim, node: e.Node}
-	config := intake.NewFollower(indirect.Reader(configStore), operatorRows, log, clock)
-	elector := scheduler.NewElector(scheduler.Config{
+	var elector *scheduler.Elector
+	leader := func() *dispatch.Link { return elector.Leader() }
+	hub := watch.NewHub(operatorRows.Key.Table, sim.now)
+	config := intake.NewFollower(watch.NewReader(indirect.Reader(configStore), hub, leader), operatorRows, log, clock)
+	elector = scheduler.NewElector(scheduler.Config{
 		Node: e.Node, Process: fmt.Sprintf("%s/%d", e.Node, e.starts), Address: e.Node, Power: sim.power(e), Grant: grant, StatusFor: 2 * time.Minute, Policies: sim.opt.Policies,
 	}, scheduler.Deps{
 		Store: rows, Log: log, Now: sim.now, Config: config.Current, Drains: config.Drains, Link: sim.link(e.Node), Policy: sim.advisor, Counters: &scheduler.Counters{},
@@ -70,6 +75,7 @@
 	server := rpc.NewServer()
 	must(server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}))
 	must(server.RegisterName("Relay", indirect.Service()))
+	must(server.RegisterName("Watch", hub.Service()))
 	p := &entryProcess{cancel: cancel, service: service, elector: elector, server: sim.listen(e.Node, server), done: make(chan struct{})}
 	e.process = p
 	go indirect.Run(ctx, e.Node)
@@ -139,7 +145,9 @@
 	node       string
 }
 
+// unreachable counts a call, and reports whether the machine is cut off.
 func (c *nodeStore) unreachable(ctx context.Context) bool {
+	c.simulation.countStoreCall(c.node)
 	if !c.simulation.isCut(c.node) {
 		return false
 	}
--- a/sessions/machines/simulation.go
+++ b/sessions/machines/simulation.go
@@ -83,6 +83,8 @@
 	hidden       map[string]bool
 	incarnations int
 	closed       bool
+	// storeCalls counts the calls of the store by machine.
+	storeCalls map[string]int
 	// configs checks that entries serve the confirmed configurations; nil until
 	// one is confirmed.
 	configs *configWatch
@@ -277,6 +279,24 @@
 	sim.cut[node] = cut
 }
 
+func (sim *Simulation) countStoreCall(node string) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	if sim.storeCalls == nil {
+		sim.storeCalls = map[string]int{}
+	}
+	sim.storeCalls[node]++
+}
+
+// takeStoreCalls returns the calls of the store by machine since the last time.
+func (sim *Simulation) takeStoreCalls() map[string]int {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	calls := sim.storeCalls
+	sim.storeCalls = nil
+	return calls
+}
+
 func (sim *Simulation) isCut(nodes ...string) bool {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
