Entries are told some other entries, instead of listing all of them

Cause: each entry lists the rows of all entries each 5 s, to know through whom it reaches the store. The bytes grow with the square of the number of entries: 184 rows, 184 times each 5 s.

Change: the scheduler's entry lists them; the others ask it for 16 (Relay.Peers), for each caller other ones and the same ones each time. An entry that is told none lists them as before.

--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -69,6 +69,7 @@
 	clock := intake.NewStoreClock(sinceBoot)
 	var elector *scheduler.Elector
 	leader := func() *dispatch.Link { return elector.Leader() }
+	relayed.AskForPeers(leader)
 	hub := watch.NewHub(operator.ConfigKey.Table, sinceBoot)
 	operatorRows := watch.NewReader(relayed.Reader(direct.WithIdleTimeout(configTimeout)), hub, leader)
 	config := intake.NewFollower(operatorRows, intake.ConfigSource{Key: operator.ConfigKey, Parse: operator.ParseConfig, Drained: operator.Drained}, p.log, clock)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +45,11 @@
 	firstListInterval = 500 * time.Millisecond
 	// listRetry is the pause after a read of the list that failed.
 	listRetry = 500 * time.Millisecond
+	// mostPeers bounds the entries that an entry is told of: so many that some
+	// reach the store when most do not.
+	mostPeers = 16
+	// peersTimeout bounds the question for them.
+	peersTimeout = 300 * time.Millisecond
 )
 
 // Table and partition of the list of entries.
@@ -63,8 +70,14 @@
 	ownAddress string
 	link       func(address string) *dispatch.Link
 
+	// source returns the link to the entry that tells of other entries, or nil if
+	// the list is to be read from the store.
+	source func() *dispatch.Link
+
 	mu    sync.Mutex
 	peers map[string]*peer
+	// listedAt is when all entries were last listed from the store.
+	listedAt time.Time
 	// lost is closed when the direct path fails, and is nil from then until a
 	// probe succeeds.
 	lost chan struct{}
@@ -93,9 +106,13 @@
 // New returns a store that uses direct first. address is this entry's own; link
 // opens the link to another entry.
 func New(direct rowstore.Store, address string, link func(address string) *dispatch.Link, log zerolog.Logger) *Store {
-	return &Store{direct: direct, ownAddress: address, log: log, link: link, peers: map[string]*peer{}, lost: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &Store{direct: direct, ownAddress: address, log: log, link: link, source: func() *dispatch.Link { return nil }, peers: map[string]*peer{}, lost: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
+// AskForPeers makes the store ask the entry that source returns for other
+// entries, instead of listing all of them. It is called before Run.
+func (s *Store) AskForPeers(source func() *dispatch.Link) { s.source = source }
+
 // Relayed returns the number of calls made through other entries.
 func (s *Store) Relayed() int64 { return s.relayed.Load() }
 
@@ -128,30 +145,62 @@
 		}
 		*registered = true
 	}
+	if addresses := s.askPeers(ctx); len(addresses) > 0 {
+		s.setPeers(addresses)
+		return nil
+	}
 	rows, _, err := rowstore.ListAll(ctx, s.direct, entriesTable, entriesPart)
 	if err != nil {
 		return err
 	}
-	s.setPeers(rows)
+	s.mu.Lock()
+	s.listedAt = time.Now()
+	s.mu.Unlock()
+	s.setPeers(s.addresses(rows))
 	return nil
 }
 
-func (s *Store) setPeers(rows []rowstore.Row) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	seen := map[string]bool{}
+// askPeers returns the addresses of some entries from the entry that tells them,
+// or none.
+func (s *Store) askPeers(ctx context.Context) []string {
+	link := s.source()
+	if link == nil {
+		return nil
+	}
+	var reply dispatch.PeersReply
+	args := dispatch.PeersArgs{Address: s.ownAddress, Most: mostPeers}
+	if err := link.Call(ctx, "Relay.Peers", args, &reply, peersTimeout); err != nil {
+		return nil
+	}
+	return reply.Addresses
+}
+
+// addresses returns the addresses that rows hold.
+func (s *Store) addresses(rows []rowstore.Row) []string {
+	var list []string
 	for _, row := range rows {
 		var e entryRow
 		if err := json.Unmarshal(row.Value, &e); err != nil {
 			s.log.Error().Err(err).Str("entry", row.Key.Key).Msg("row of entry can't be decoded")
 			continue
 		}
-		if e.Address == s.ownAddress || e.Address == "" {
+		list = append(list, e.Address)
+	}
+	return list
+}
+
+// setPeers replaces the known entries.
+func (s *Store) setPeers(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := map[string]bool{}
+	for _, address := range addresses {
+		if address == s.ownAddress || address == "" {
 			continue
 		}
-		seen[e.Address] = true
-		if s.peers[e.Address] == nil {
-			s.peers[e.Address] = &peer{link: s.link(e.Address)}
+		seen[address] = true
+		if s.peers[address] == nil {
+			s.peers[address] = &peer{link: s.link(address)}
 		}
 	}
 	for address, p := range s.peers {
@@ -162,6 +211,26 @@
 	}
 }
 
+// peersFor returns at most most of the listed entries for the entry at address,
+// or none if they were not listed of late. Each entry is given other ones, and
+// the same ones each time.
+func (s *Store) peersFor(address string, most int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listedAt.IsZero() || time.Since(s.listedAt) > 2*listInterval {
+		return nil
+	}
+	list := []string{s.ownAddress}
+	for a := range s.peers {
+		if a != address {
+			list = append(list, a)
+		}
+	}
+	rank := func(a string) int { return rowstore.Spread(address+" "+a, math.MaxInt32) }
+	sort.Slice(list, func(i, j int) bool { return rank(list[i]) < rank(list[j]) })
+	return list[:min(most, len(list))]
+}
+
 // answer is the result of a call of the store.
 type answer struct {
 	rows []rowstore.Row
--- a/entry/relay/service.go
+++ b/entry/relay/service.go
@@ -10,12 +10,21 @@
 
 // Service makes calls to the store for other entries, only by the direct path.
 type Service struct {
+	relay *Store
 	store rowstore.Store
 	large *sharedReads
 }
 
 // Service returns the RPC service for other entries.
-func (s *Store) Service() *Service { return &Service{store: s.direct, large: newSharedReads()} }
+func (s *Store) Service() *Service {
+	return &Service{relay: s, store: s.direct, large: newSharedReads()}
+}
+
+// Peers implements the RPC method of that name.
+func (r *Service) Peers(args dispatch.PeersArgs, reply *dispatch.PeersReply) error {
+	reply.Addresses = r.relay.peersFor(args.Address, args.Most)
+	return nil
+}
 
 // Apply implements the RPC method of that name.
 func (r *Service) Apply(args dispatch.ApplyArgs, reply *dispatch.RowsReply) error {
--- a/sessions/machines/entry.go
+++ b/sessions/machines/entry.go
@@ -64,6 +64,7 @@
 	configStore := &nodeStore{Store: sim.Store.ClientWithIdleTimeout(e.Node, configIdleTimeout), simulation: sim, node: e.Node}
 	var elector *scheduler.Elector
 	leader := func() *dispatch.Link { return elector.Leader() }
+	indirect.AskForPeers(leader)
 	hub := watch.NewHub(operatorRows.Key.Table, sim.now)
 	config := intake.NewFollower(watch.NewReader(indirect.Reader(configStore), hub, leader), operatorRows, log, clock)
 	elector = scheduler.NewElector(scheduler.Config{
--- a/wire/dispatch/relay.go
+++ b/wire/dispatch/relay.go
@@ -27,6 +27,18 @@
 	Large bool
 }
 
+// PeersArgs asks an entry for the addresses of other entries, at most Most of
+// them. Address is the caller's.
+type PeersArgs struct {
+	Address string
+	Most    int
+}
+
+// PeersReply holds addresses of entries, always the same ones for one caller
+// while they last. It is empty if the answering entry has not listed them itself
+// of late.
+type PeersReply struct{ Addresses []string }
+
 // RowsReply is the store's answer to a relayed call.
 type RowsReply struct {
 	Rows   []rowstore.Row
