Agents tell at once that nothing listens at their worker's address

Cause: an agent whose calls to its worker are refused told the scheduler only after 1.6 s without an answer.

Change: a refused connection is reported at once, as not listed; starts are refused meanwhile, and one that is under way is given up with its second try. The runs stay on record as before: a refused call does not prove that they have ended.

--- a/agent/runner/fresh.go
+++ b/agent/runner/fresh.go
@@ -85,6 +85,7 @@
 	}
 	if inc.downAt == 0 && errors.Is(err, workerctl.ErrDown) {
 		inc.downAt = r.deps.Now()
+		inc.changed = r.recordChange(true)
 	}
 }
 
--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -100,6 +100,9 @@
 }
 
 func (r *Runner) recordAnswer(inc *incarnation) {
+	if inc.downAt > 0 {
+		inc.changed = r.recordChange(true)
+	}
 	inc.answeredAt, inc.failedAt, inc.downAt = r.deps.Now(), 0, 0
 	failures := inc.failures
 	inc.failures = 0
--- a/agent/runner/orders.go
+++ b/agent/runner/orders.go
@@ -27,6 +27,9 @@
 	// reasonReplaced is the reason of a refusal once a new life of the worker has
 	// been heard of.
 	reasonReplaced = "the worker has started again"
+	// reasonDown is the reason of a refusal while nothing listens at the worker's
+	// address.
+	reasonDown = "the worker is down"
 )
 
 // Order accepts the scheduler's orders. Watch reports their outcomes.
@@ -144,6 +147,9 @@
 	if inc.unresponsive || r.deps.Now()-inc.answeredAt > unresponsiveAfter || x.watched && inc.failures > 0 {
 		return "the worker does not answer"
 	}
+	if inc.downAt > 0 {
+		return reasonDown
+	}
 	if !inc.listed {
 		return "the worker was not listed yet"
 	}
@@ -205,6 +211,8 @@
 		return dispatch.ReasonDrained
 	case inc.replaced:
 		return reasonReplaced
+	case inc.downAt > 0:
+		return reasonDown
 	case lease == 0 || r.deps.Now()-begun > startTimeout:
 		return "no answer within the grant"
 	}
@@ -342,6 +350,15 @@
 			r.mu.Unlock()
 			return
 		}
+		if errors.Is(err, workerctl.ErrDown) {
+			// The worker runs nothing while it is down. The stop is repeated in case
+			// that it answers as the same incarnation.
+			r.mu.Lock()
+			r.recordFailure(inc, err)
+			r.mu.Unlock()
+			sleep(ctx, holdRetryPause)
+			continue
+		}
 		r.deps.Log.Warn().Err(err).Stringer("run", x.id).Msg("stop order failed")
 		time.Sleep(retryPause)
 	}
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -94,7 +94,7 @@
 	}
 	reply.Worker = inc.worker
 	reply.Worker.Draining = inc.worker.Draining || inc.leaving
-	reply.Listed = inc.listed && !inc.unresponsive && !inc.stale
+	reply.Listed = inc.listed && !inc.unresponsive && !inc.stale && inc.downAt == 0
 	reply.Lapsed = inc.lapsed
 	if r.stopping {
 		reply.Stopping, reply.LeaseEnd = true, inc.lastLeaseEnd()
