One log line for what happens to many workers or agents at once

At the start, and after each takeover, hundreds of agents that have not been reached yet are reported as lost and reachable again. explain prints a line for each of 1,058 clocks before its answer.

Change: ops/logs.Batch gathers these events, and each tick logs one line for each kind with all their names and the number of runs. An agent that has not answered a term yet is no loss. explain prints one line with the number of clocks and five names.

--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -165,11 +168,13 @@
 
 func (l *agentLink) markUnresponsive(ctx context.Context, err error) {
 	l.term.mu.Lock()
-	first := !l.unresponsive
+	// An agent that has not answered this term yet is no loss.
+	first := !l.unresponsive && l.process != 0
 	l.unresponsive = true
 	l.term.mu.Unlock()
 	if first && ctx.Err() == nil {
-		l.term.deps.Log.Warn().Err(err).Str("instance", l.node).Msg("agent lost")
+		l.term.deps.Log.Debug().Err(err).Str("instance", l.node).Msg("agent has not answered")
+		l.term.fleetLog.Add(logs.Kind{Level: zerolog.WarnLevel, Message: "agents lost"}, l.node, 0)
 	}
 }
 
@@ -188,7 +193,9 @@
 	}
 	if l.unresponsive {
 		l.unresponsive = false
-		t.deps.Log.Warn().Str("instance", l.node).Msg("agent reachable again")
+		if l.process != 0 {
+			t.fleetLog.Add(logs.Kind{Level: zerolog.WarnLevel, Message: "agents reachable again"}, l.node, 0)
+		}
 	}
 	if reply.Process != l.process {
 		l.newProcess(reply.Process)
@@ -290,8 +297,11 @@
 	alive := reply.Listed && !reply.Lapsed
 	changed = changed || alive != w.alive || info.Draining != w.info.Draining || info.Capacity != w.info.Capacity
 	if alive != w.alive {
-		t.deps.Log.Info().Str("worker", string(info.ID)).Str("instance", l.node).Bool("alive", alive).Int("runs", len(w.runs)).
-			Int("cpu", info.Capacity.CPU).Int("memory", info.Capacity.Memory).Msg("worker")
+		message := "workers usable"
+		if !alive {
+			message = "workers not usable"
+		}
+		t.fleetLog.Add(logs.Kind{Level: zerolog.InfoLevel, Message: message}, w.label(), len(w.runs))
 	}
 	w.info = info
 	w.drained = t.drains.Covers(info.DataCentre)
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -1,6 +1,14 @@
 package scheduler
 
-import "persimmonrock.example/structs/workload"
+import (
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/ops/logs"
+	"persimmonrock.example/structs/workload"
+)
+
+// label names the worker and its instance in log lines on many workers.
+func (w *worker) label() string { return w.agent + " " + string(w.id) }
 
 // removeWorker removes an incarnation that has ended, and requeues its runs.
 func (t *Term) removeWorker(id workload.WorkerID, loss workerLoss) {
@@ -21,8 +29,7 @@
 func (t *Term) requeueRuns(w *worker, loss workerLoss) {
 	suspects := t.suspects(w, loss)
 	if w.alive || len(w.runs) > 0 {
-		t.deps.Log.Warn().Str("worker", string(w.id)).Str("instance", w.agent).Int("runs", len(w.runs)).Int("suspects", len(suspects)).
-			Str("why", loss.reason).Msg("worker lost")
+		t.fleetLog.Add(logs.Kind{Level: zerolog.WarnLevel, Message: "workers lost", Why: loss.reason}, w.label(), len(w.runs))
 	}
 	w.alive = false
 	t.recordLoss(w)
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -15,6 +15,7 @@
 	"persimmonrock.example/infra/policy"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
+	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/structs/scheduling"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
@@ -75,6 +76,8 @@
 	cfg   Config
 	deps  Deps
 	epoch uint64
+	// fleetLog gathers what happens to workers and agents, for one line in a tick.
+	fleetLog *logs.Batch
 	// beganAt is when the lease was taken.
 	beganAt time.Duration
 	earlier earlierGrants
@@ -150,7 +153,7 @@
 func newTerm(ctx context.Context, cfg Config, deps Deps, earlier earlierGrants, lease leaseRow, version uint64, sent time.Duration, at rowstore.Stamp) *Term {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &Term{
-		cfg: cfg, deps: deps, epoch: version, beganAt: deps.Now(), earlier: earlier, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		cfg: cfg, deps: deps, epoch: version, fleetLog: logs.NewBatch(deps.Log), beganAt: deps.Now(), earlier: earlier, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		adviceRequests: make(chan adviceRequest, adviceQueue), jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{},
 		earlyCancels: map[workload.JobID]bool{}, lostRuns: map[string]time.Duration{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
 		renewal:    renewal{version: version, sent: sent},
@@ -183,6 +186,7 @@
 	t.commitLoop()
 	t.cancel()
 	group.Wait()
+	t.fleetLog.Flush()
 	t.deps.Counters.Agents.Store(0)
 	t.deps.Counters.AgentsHeard.Store(0)
 	t.deps.Counters.Drains.Store(nil)
@@ -227,6 +231,7 @@
 		t.countDrained()
 		t.measureLayout()
 		t.mu.Unlock()
+		t.fleetLog.Flush()
 		if changed {
 			t.wakeUp()
 		}
--- a/ops/breakdown/print.go
+++ b/ops/breakdown/print.go
@@ -5,17 +5,33 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 )
 
+// namedClocks bounds the processes that are named if their clocks are tied to
+// no other.
+const namedClocks = 5
+
+// printUnaligned says that lines of some processes may stand at a wrong time.
+func printUnaligned(w io.Writer, names []string) {
+	if len(names) == 0 {
+		return
+	}
+	more := ""
+	if len(names) > namedClocks {
+		more = ", ..."
+	}
+	fmt.Fprintf(w, "the clocks of %d processes are tied to no other, their lines stand where their wall clocks put them: %s%s\n",
+		len(names), strings.Join(names[:min(len(names), namedClocks)], ", "), more)
+}
+
 // Print writes the report as tables.
 func (r *Report) Print(w io.Writer) error {
 	for _, message := range slices.Sorted(maps.Keys(r.LeftOut)) {
 		fmt.Fprintf(w, "the log has gaps: %d lines %q were left out\n", r.LeftOut[message], message)
 	}
-	for _, name := range r.Unaligned {
-		fmt.Fprintf(w, "the clock of %s is tied to no other: its lines stand where its wall clock puts them\n", name)
-	}
+	printUnaligned(w, r.Unaligned)
 	fmt.Fprintf(w, "jobs with filling work: %d in time, %d late, %d overdue, %d failed, %d cancelled, %d not ended\n\n",
 		r.ByClass[InTime].Jobs, r.ByClass[Late].Jobs, r.ByClass[Overdue].Jobs, r.Failed, r.Cancelled, r.Unfinished)
 	fmt.Fprintf(w, "serving tasks were over their targets for %.1f s, %.1f s of it beside filling work\n\n", r.OverTarget, r.OverTargetFilled)
