A slow store's change of the lease row is followed, as it arrives before the answer

Cause: while the store is slow (60 to 70 times), the answer to a transaction arrives about twice as late as its execution: on the fleet, jobs are known to the scheduler by the feed 0.30 s after they were handed in, and the entry that wrote them has its answer after 0.54 s. The scheduler waits for its own answer, then for the next one; a short job waits for two to three of them.

Change: settle follows the condition's row by a feed from 60 ms on, while the answer is missing. A change of the row settles the transaction as a read of the row does.

Test: TestChangeOfTheRowArrivesBeforeTheAnswer.

--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -165,7 +165,8 @@
 		var conflict *rowstore.ConflictError
 		if errors.As(err, &conflict) {
 			if v := ownVersion(conflict, lease); v != 0 {
-				// An earlier attempt, whose answer was lost, was applied.
+				// An attempt was applied, and its answer is lost or still on its way.
+				t.deps.Counters.Commit.Observe(t.deps.Now() - sent)
 				t.recordRenewal(lease, v, first, rowstore.Stamp{})
 				return true
 			}
--- a/infra/rowstore/settle/settle.go
+++ b/infra/rowstore/settle/settle.go
@@ -24,6 +24,10 @@
 	readTimeout = 500 * time.Millisecond
 	// maxAttempts bounds the attempts in flight at a time.
 	maxAttempts = 4
+	// followAfter is the time without an answer after which the row's changes are
+	// followed, followWait the wait of one such call.
+	followAfter = 60 * time.Millisecond
+	followWait  = 400 * time.Millisecond
 )
 
 // Store is a rowstore.Store that reads the row of a transaction's condition
@@ -37,6 +41,10 @@
 // which. If the row still has the required version and the read was quick,
 // Store makes another attempt: the shared condition lets at most one attempt
 // take effect. A store that answers reads slowly gets no further attempts.
+//
+// A slow store executes a transaction well before its answer arrives. So the
+// changes of the row are followed, too, while the answer is missing: the change
+// arrives first, and saves the caller the rest of the answer's way.
 type Store struct {
 	rowstore.Store
 
@@ -53,7 +61,14 @@
 	if len(t.Conds) != 1 {
 		return s.Store.Apply(ctx, t)
 	}
-	c := call{store: s, txn: t, answers: make(chan answer, maxAttempts), reads: make(chan readResult, 1)}
+	c := call{store: s, txn: t, answers: make(chan answer, maxAttempts), reads: make(chan readResult, 1), changes: make(chan rowstore.Row, 1)}
+	// A row without a version has no changes to follow from.
+	if t.Conds[0].Version > 0 {
+		following, cancel := context.WithCancel(ctx)
+		defer cancel()
+		follow := time.AfterFunc(followAfter, func() { c.followRow(following) })
+		defer follow.Stop()
+	}
 	return c.run(ctx)
 }
 
@@ -63,6 +78,8 @@
 	txn     rowstore.Txn
 	answers chan answer
 	reads   chan readResult
+	// changes receives the row once it has changed.
+	changes chan rowstore.Row
 	// pending counts the attempts without an answer.
 	pending int
 	// failure is the error of the failed attempts: ErrUnknown if any of them
@@ -98,6 +115,8 @@
 			if c.pending == 0 {
 				return rowstore.Stamp{}, c.failure
 			}
+		case row := <-c.changes:
+			return rowstore.Stamp{}, c.conflict(row)
 		case <-timer.C:
 			go c.readRow(ctx)
 		case r := <-c.reads:
@@ -140,6 +159,27 @@
 	c.reads <- readResult{row: row, took: time.Since(begun), err: err}
 }
 
+// followRow waits until the row has another version than the transaction
+// requires.
+func (c *call) followRow(ctx context.Context) {
+	cond := c.txn.Conds[0]
+	for ctx.Err() == nil {
+		rows, _, err := c.store.Store.Feed(ctx, cond.Key.Table, cond.Version, followWait)
+		if err != nil {
+			return
+		}
+		for _, row := range rows {
+			if row.Key == cond.Key && row.Version > cond.Version {
+				if row.Deleted {
+					row = rowstore.Row{Key: cond.Key}
+				}
+				c.changes <- row
+				return
+			}
+		}
+	}
+}
+
 func (c *call) conflict(row rowstore.Row) error {
 	if row.Version == 0 {
 		return &rowstore.ConflictError{}
--- a/infra/rowstore/settle/settle_test.go
+++ b/infra/rowstore/settle/settle_test.go
@@ -119,3 +119,40 @@
 		}
 	})
 }
+
+// lateAnswers is a store that executes a transaction at once and answers late.
+type lateAnswers struct{ rowstore.Store }
+
+const answerDelay = 300 * time.Millisecond
+
+func (s lateAnswers) Apply(ctx context.Context, t rowstore.Txn) (rowstore.Stamp, error) {
+	at, err := s.Store.Apply(ctx, t)
+	time.Sleep(answerDelay)
+	return at, err
+}
+
+// Guards against a scheduler that waits for the answers of a slow store, each of
+// which arrives long after its transaction was executed.
+func TestChangeOfTheRowArrivesBeforeTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(lateAnswers{memstore.New(1).Client("c")})
+		at, err := s.Apply(t.Context(), txn(0, "before"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		version := at.Version
+		for n := range 10 {
+			begun := time.Now()
+			_, err := s.Apply(t.Context(), txn(version, "mine"))
+			var conflict *rowstore.ConflictError
+			if !errors.As(err, &conflict) || string(conflict.Find(key).Value) != "mine" {
+				t.Fatalf("transaction %d: %v", n, err)
+			}
+			if took := time.Since(begun); took > 2*followAfter {
+				t.Errorf("transaction %d was known after %v", n, took)
+			}
+			version = conflict.Find(key).Version
+		}
+		time.Sleep(time.Minute)
+	})
+}
