A worker's first report looks at the workers of its agent only

Cause: for each worker that is new to a term, the scheduler looked through all workers for others of the same agent, under its lock: the work of a takeover grew with the square of the number of agents.

Change: workers are also kept by agent.

--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -272,12 +273,12 @@
 		w := t.workers[info.ID]
 		if w == nil {
 			w = newWorker(info.ID, l.node)
-			t.workers[info.ID] = w
+			t.addWorker(w)
 		}
 		w.agent, w.link = l.node, l
 		l.worker = w
-		for _, other := range t.workers {
-			if other.agent == l.node && other != w {
+		for _, other := range slices.Clone(t.byAgent[l.node]) {
+			if other != w {
 				t.removeWorker(other.id, workerLoss{reason: "its agent has another worker"})
 			}
 		}
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -183,7 +183,7 @@
 	if w == nil {
 		w = newWorker(k.worker, k.agent)
 		w.leaseEnd = t.earlier.endOf(w.id)
-		t.workers[k.worker] = w
+		t.addWorker(w)
 	}
 	return w
 }
--- a/entry/scheduler/lost.go
+++ b/entry/scheduler/lost.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/ops/logs"
@@ -10,6 +12,12 @@
 // label names the worker and its instance in log lines on many workers.
 func (w *worker) label() string { return w.agent + " " + string(w.id) }
 
+// addWorker adds an incarnation.
+func (t *Term) addWorker(w *worker) {
+	t.workers[w.id] = w
+	t.byAgent[w.agent] = append(t.byAgent[w.agent], w)
+}
+
 // removeWorker removes an incarnation that has ended, and requeues its runs.
 func (t *Term) removeWorker(id workload.WorkerID, loss workerLoss) {
 	w := t.workers[id]
@@ -17,6 +25,10 @@
 		return
 	}
 	delete(t.workers, id)
+	t.byAgent[w.agent] = slices.DeleteFunc(t.byAgent[w.agent], func(x *worker) bool { return x == w })
+	if len(t.byAgent[w.agent]) == 0 {
+		delete(t.byAgent, w.agent)
+	}
 	if w.link != nil && w.link.worker == w {
 		w.link.worker = nil
 	}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -95,6 +95,8 @@
 	dirty   []*job
 	agents  map[string]*agentLink
 	workers map[workload.WorkerID]*worker
+	// byAgent holds the same workers by their agent's node.
+	byAgent map[string][]*worker
 	learner learner
 	// forecaster predicts the ends of jobs; nil if the policy is off.
 	forecaster *forecaster
@@ -154,7 +156,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	t := &Term{
 		cfg: cfg, deps: deps, epoch: version, fleetLog: logs.NewBatch(deps.Log), beganAt: deps.Now(), earlier: earlier, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
-		adviceRequests: make(chan adviceRequest, adviceQueue), jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{},
+		adviceRequests: make(chan adviceRequest, adviceQueue), jobs: map[workload.JobID]*job{}, agents: map[string]*agentLink{}, workers: map[workload.WorkerID]*worker{}, byAgent: map[string][]*worker{},
 		earlyCancels: map[workload.JobID]bool{}, lostRuns: map[string]time.Duration{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
 		renewal:    renewal{version: version, sent: sent},
 		storeClock: storeClock{store: at.Now, local: deps.Now()},
