A new term reads progress, jobs and what was learnt at the same time

Cause: a term's four reads were made one after the other, each of them an answer of the store: four times 0.24 s while the store is 60 times slower.

Change: they are made at the same time. The earlier scheduler can store nothing any more, and a job's row is older than its progress, so the order does not matter.

--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -26,18 +26,16 @@
 // load reads the rows written by earlier schedulers and by all entries. It
 // returns the version from which the feed of jobs continues.
 func (t *Term) load() (uint64, error) {
-	progress, err := t.listAll(progressTable, schedulerPart)
-	if err != nil {
-		return 0, err
-	}
-	if err := t.loadLeaseEnds(); err != nil {
-		return 0, err
-	}
-	learnt, err := t.listAll(learntTable, schedulerPart)
-	if err != nil {
-		return 0, err
-	}
-	jobs, stamp, err := t.listJobs()
+	var progress, learnt, jobs []rowstore.Row
+	var stamp uint64
+	// The earlier scheduler can store nothing any more, so the reads may be made
+	// at the same time.
+	err := inParallel(
+		func() (err error) { progress, err = t.listAll(progressTable, schedulerPart); return err },
+		func() (err error) { learnt, err = t.listAll(learntTable, schedulerPart); return err },
+		func() (err error) { jobs, stamp, err = t.listJobs(); return err },
+		t.loadLeaseEnds,
+	)
 	if err != nil {
 		return 0, err
 	}
@@ -70,6 +68,17 @@
 	return stamp, nil
 }
 
+// inParallel runs the functions at the same time, and returns their errors.
+func inParallel(functions ...func() error) error {
+	errs := make([]error, len(functions))
+	var group sync.WaitGroup
+	for i, f := range functions {
+		group.Go(func() { errs[i] = f() })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
 // listAll reads a partition. It retries until validFor after the term began.
 func (t *Term) listAll(table, part string) ([]rowstore.Row, error) {
 	rows, _, err := t.listAllAt(table, part)
