Entries also list the operator's rows through the scheduler's entry

Change: the scheduler's entry answers a list as it does a feed, if its state is not older than what the asking entry knows. A question for changes from before its own list is answered as compacted, so that the asking entry lists at once instead of asking the store first.

--- a/entry/watch/hub.go
+++ b/entry/watch/hub.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -18,6 +20,9 @@
 	"persimmonrock.example/wire/dispatch"
 )
 
+// errNotTold means that an entry knows no fresh state of the table.
+var errNotTold = errors.New("the entry has no fresh state of the table")
+
 // Hub keeps the newest rows of a table, and the store's last answer about them.
 type Hub struct {
 	table string
@@ -88,9 +93,10 @@
 }
 
 // Next returns the rows that have changed after a version, and waits for an
-// answer of the store that arrives within wait if there is none. ok is false if
-// the hub does not know all changes since that version.
-func (h *Hub) Next(ctx context.Context, after uint64, wait time.Duration) (rows []rowstore.Row, at rowstore.Stamp, ok bool) {
+// answer of the store that arrives within wait if there is none. err is
+// rowstore.ErrCompacted if the hub knows all rows, but not all changes since that
+// version, and errNotTold if its rows are older than that.
+func (h *Hub) Next(ctx context.Context, after uint64, wait time.Duration) (rows []rowstore.Row, at rowstore.Stamp, err error) {
 	h.mu.Lock()
 	answered, changed := h.answered, h.version > after && len(h.changes(after)) > 0
 	h.mu.Unlock()
@@ -105,11 +111,38 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.confirmedAt == 0 || after < h.floor || h.version < after {
-		return nil, rowstore.Stamp{}, false
+	switch {
+	case h.confirmedAt == 0 || h.version < after:
+		return nil, rowstore.Stamp{}, errNotTold
+	case after < h.floor:
+		return nil, rowstore.Stamp{}, rowstore.ErrCompacted
 	}
+	return h.changes(after), h.stamp(), nil
+}
+
+// All returns all rows; err is errNotTold if the hub knows none, or none of the
+// version least or later.
+func (h *Hub) All(least uint64) (rows []rowstore.Row, at rowstore.Stamp, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.confirmedAt == 0 || h.version < least {
+		return nil, rowstore.Stamp{}, errNotTold
+	}
+	rows = slices.DeleteFunc(h.changes(0), func(r rowstore.Row) bool { return r.Deleted })
+	return rows, h.stamp(), nil
+}
+
+// lastVersion returns the version of the last answer.
+func (h *Hub) lastVersion() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
+
+// stamp returns the stamp of the last answer, as of now. The caller holds mu.
+func (h *Hub) stamp() rowstore.Stamp {
 	age := h.now() - h.confirmedAt
-	return h.changes(after), rowstore.Stamp{Version: h.version, Now: h.storeNow + age, Age: age}, true
+	return rowstore.Stamp{Version: h.version, Now: h.storeNow + age, Age: age}
 }
 
 // changes lists the rows that have changed after a version, oldest change first.
@@ -155,9 +188,16 @@
 		return nil
 	}
 	received := s.hub.now()
-	rows, at, ok := s.hub.Next(context.Background(), args.After, args.Wait)
+	var rows []rowstore.Row
+	var at rowstore.Stamp
+	var err error
+	if args.All {
+		rows, at, err = s.hub.All(args.After)
+	} else {
+		rows, at, err = s.hub.Next(context.Background(), args.After, args.Wait)
+	}
 	waited := s.hub.now() - received
 	s.hub.pack(rows)
-	*reply = dispatch.ChangesReply{Known: ok, Rows: rows, At: at, Waited: waited}
+	*reply = dispatch.ChangesReply{Known: err == nil, Compacted: errors.Is(err, rowstore.ErrCompacted), Rows: rows, At: at, Waited: waited}
 	return nil
 }
--- a/entry/watch/reader.go
+++ b/entry/watch/reader.go
@@ -25,9 +25,6 @@
 	askAgain = 500 * time.Millisecond
 )
 
-// errNotTold means that the other entry knows no fresh state.
-var errNotTold = errors.New("the other entry has no fresh state of the table")
-
 // Reader is a rowstore.Reader of a hub's table. It follows the table through the
 // scheduler's entry, and through the store while that tells nothing.
 type Reader struct {
@@ -57,23 +54,45 @@
 	return &Reader{store: store, hub: hub, source: source}
 }
 
-// List implements rowstore.Reader. It always reads the store.
+// List implements rowstore.Reader. A list of the whole table is asked for like its
+// changes.
 func (r *Reader) List(ctx context.Context, table, part, from, to string) ([]rowstore.Row, bool, rowstore.Stamp, error) {
+	whole := table == r.hub.table && from == "" && to == ""
+	if source := r.askedSource(); source != nil && whole {
+		// An older list must not hide what this entry knows already.
+		rows, at, err := r.askSource(ctx, source, dispatch.ChangesArgs{Table: table, All: true, After: r.hub.lastVersion()})
+		if err == nil {
+			r.hub.recordList(rows, at, r.hub.now()-at.Age)
+			return rows, false, at, nil
+		}
+		r.directUntil = r.hub.now() + askAgain
+	}
 	r.Counters.Direct.Add(1)
 	asked := r.hub.now()
 	rows, more, at, err := r.store.List(ctx, table, part, from, to)
-	if err == nil && table == r.hub.table && from == "" && to == "" && !more {
+	if err == nil && whole && !more {
 		r.hub.recordList(rows, at, asked)
 	}
 	return rows, more, at, err
 }
 
+// askedSource returns the link to the other entry, or nil if the store is to be
+// read.
+func (r *Reader) askedSource() *dispatch.Link {
+	if r.hub.now() < r.directUntil {
+		return nil
+	}
+	return r.source()
+}
+
 // Feed implements rowstore.Reader.
 func (r *Reader) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
-	source := r.source()
-	if source != nil && table == r.hub.table && r.hub.now() >= r.directUntil {
-		rows, at, err := r.askSource(ctx, source, table, after, wait)
-		if err == nil || ctx.Err() != nil {
+	if source := r.askedSource(); source != nil && table == r.hub.table {
+		rows, at, err := r.askSource(ctx, source, dispatch.ChangesArgs{Table: table, After: after, Wait: wait})
+		if err == nil {
+			r.hub.recordChanges(after, rows, at, r.hub.now()-at.Age)
+		}
+		if err == nil || ctx.Err() != nil || errors.Is(err, rowstore.ErrCompacted) {
 			return rows, at, err
 		}
 		r.directUntil = r.hub.now() + askAgain
@@ -94,30 +113,30 @@
 	return rows, at, err
 }
 
-// askSource asks the other entry for changes.
-func (r *Reader) askSource(ctx context.Context, source *dispatch.Link, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
+// askSource asks the other entry.
+func (r *Reader) askSource(ctx context.Context, source *dispatch.Link, args dispatch.ChangesArgs) ([]rowstore.Row, rowstore.Stamp, error) {
 	var reply dispatch.ChangesReply
-	args := dispatch.ChangesArgs{Table: table, After: after, Wait: wait}
 	asked := r.hub.now()
-	if err := source.Call(ctx, "Watch.Next", args, &reply, wait+tellTimeout); err != nil {
-		return nil, rowstore.Stamp{}, eris.Wrapf(err, "changes of %s", table)
+	if err := source.Call(ctx, "Watch.Next", args, &reply, args.Wait+tellTimeout); err != nil {
+		return nil, rowstore.Stamp{}, eris.Wrapf(err, "changes of %s", args.Table)
+	}
+	if reply.Compacted {
+		return nil, rowstore.Stamp{}, eris.Wrapf(rowstore.ErrCompacted, "changes of %s at %s", args.Table, source.Address())
 	}
 	// The state had its age when the answer was sent, Waited after asked at the
 	// earliest.
-	confirmed := asked + reply.Waited - reply.At.Age
-	reply.At.Age = r.hub.now() - confirmed
+	reply.At.Age += r.hub.now() - asked - reply.Waited
 	if !reply.Known || reply.At.Age > maxAge {
-		return nil, rowstore.Stamp{}, eris.Wrapf(errNotTold, "changes of %s at %s", table, source.Address())
+		return nil, rowstore.Stamp{}, eris.Wrapf(errNotTold, "changes of %s at %s", args.Table, source.Address())
 	}
 	for i := range reply.Rows {
 		value, err := dispatch.Unpack(reply.Rows[i].Value)
 		if err != nil {
-			return nil, rowstore.Stamp{}, eris.Wrapf(err, "changes of %s at %s", table, source.Address())
+			return nil, rowstore.Stamp{}, eris.Wrapf(err, "changes of %s at %s", args.Table, source.Address())
 		}
 		reply.Rows[i].Value = value
 	}
 	progress.Received(ctx)
 	r.Counters.Told.Add(1)
-	r.hub.recordChanges(after, reply.Rows, reply.At, confirmed)
 	return reply.Rows, reply.At, nil
 }
--- a/wire/dispatch/changes.go
+++ b/wire/dispatch/changes.go
@@ -11,19 +11,23 @@
 	"persimmonrock.example/infra/rowstore"
 )
 
-// ChangesArgs asks an entry for the rows of a table that have changed after a
-// version. The answer waits up to Wait for the store's next answer.
+// ChangesArgs asks an entry for the rows of a table that have changed after the
+// version After, or for all rows as of After or later. The answer to the former
+// waits up to Wait for the store's next answer.
 type ChangesArgs struct {
 	Table string
+	All   bool
 	After uint64
 	Wait  time.Duration
 }
 
 // ChangesReply holds the changed rows, with packed values.
 type ChangesReply struct {
-	// Known says that the entry knows all changes since the version.
-	Known bool
-	Rows  []rowstore.Row
+	// Known says that the entry knows what was asked for. Compacted says that it
+	// does not know all changes since the version, but all rows.
+	Known     bool
+	Compacted bool
+	Rows      []rowstore.Row
 	// At is as of the sending of the reply, Waited the time from the arrival of
 	// the call to then.
 	At     rowstore.Stamp
