An entry that is told the operator's rows counts the store's silence as before

The age of a told state counted from when it was certainly current, so that an entry beside a slow store thought for some tenths of a second longer than the scheduler's that the store was silent, and at 0.45 s an answer would have refused jobs (worked out, not seen). Now the time since the store's answer arrived and the time before that travel apart: the former says whether the store answers, the latter how old the state may be. An entry that was told something too old reads the store itself for three seconds.

--- a/entry/intake/config.go
+++ b/entry/intake/config.go
@@ -137,7 +137,7 @@
 		}
 		f.Counters.ReadTime.Observe(f.now() - asked)
 		f.applyDrains(rows, at, listed)
-		f.recordAnswer(asked, at.Age, listed, len(rows) > 0)
+		f.recordAnswer(asked, at, listed, len(rows) > 0)
 		if f.now()-asked < configLateAfter || f.current.Load() == nil {
 			f.clock.Set(at)
 		}
@@ -175,14 +175,13 @@
 }
 
 // recordAnswer records an answer of the store, or one that another entry has
-// passed on and that was current age ago. A list, or a feed with changes, may
-// show the state at the time of the request; a feed without changes confirms the
-// state at the end of its wait.
-func (f *Follower) recordAnswer(asked, age time.Duration, feed, changes bool) {
+// passed on. A list, or a feed with changes, may show the state at the time of
+// the request; a feed without changes confirms the state at the end of its wait.
+func (f *Follower) recordAnswer(asked time.Duration, at rowstore.Stamp, feed, changes bool) {
 	now := f.now()
-	f.lastAnswer.Store(max(f.lastAnswer.Load(), int64(now-age)))
-	if age > 0 {
-		f.confirmed.Store(max(f.confirmed.Load(), int64(now-age)))
+	f.lastAnswer.Store(max(f.lastAnswer.Load(), int64(now-at.Age)))
+	if at.Age > 0 {
+		f.confirmed.Store(max(f.confirmed.Load(), int64(now-at.Age-at.Lag)))
 		return
 	}
 	if feed && !changes {
--- a/entry/watch/hub.go
+++ b/entry/watch/hub.go
@@ -34,15 +34,28 @@
 	packed map[rowstore.Key]packedRow
 	// floor is the version of the last list; deletions before it are not known.
 	floor uint64
-	// version and storeNow are those of the last answer. The rows were known to
-	// be current at confirmedAt, a local time; 0 before the first answer.
-	version     uint64
-	storeNow    time.Duration
-	confirmedAt time.Duration
+	// version and storeNow are those of the last answer.
+	version  uint64
+	storeNow time.Duration
+	// last is when the last answer arrived; zero before the first one.
+	last arrival
 	// answered is closed with the next answer.
 	answered chan struct{}
 }
 
+// arrival is when an answer of the store arrived at the process that read it, and
+// until when its state was certainly current, both by the local clock.
+type arrival struct{ at, current time.Duration }
+
+// arrivalOf returns the arrival of an answer with the stamp that has just come.
+// A direct answer was current at current.
+func arrivalOf(stamp rowstore.Stamp, now, current time.Duration) arrival {
+	if stamp.Age > 0 {
+		current = now - stamp.Age - stamp.Lag
+	}
+	return arrival{at: now - stamp.Age, current: current}
+}
+
 type packedRow struct {
 	version uint64
 	value   []byte
@@ -53,8 +66,8 @@
 	return &Hub{table: table, now: now, rows: map[rowstore.Key]rowstore.Row{}, packed: map[rowstore.Key]packedRow{}, answered: make(chan struct{})}
 }
 
-// recordList replaces the rows by a list that was current at confirmedAt.
-func (h *Hub) recordList(rows []rowstore.Row, at rowstore.Stamp, confirmedAt time.Duration) {
+// recordList replaces the rows by a list.
+func (h *Hub) recordList(rows []rowstore.Row, at rowstore.Stamp, came arrival) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if at.Version < h.version {
@@ -63,42 +76,44 @@
 	clear(h.rows)
 	clear(h.packed)
 	h.floor = at.Version
-	h.record(rows, at, confirmedAt)
+	h.record(rows, at, came)
 }
 
 // recordChanges applies the changes after version after. Changes that do not
 // follow on what is known are dropped.
-func (h *Hub) recordChanges(after uint64, rows []rowstore.Row, at rowstore.Stamp, confirmedAt time.Duration) {
+func (h *Hub) recordChanges(after uint64, rows []rowstore.Row, at rowstore.Stamp, came arrival) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.confirmedAt == 0 || after > h.version {
+	if h.last.at == 0 || after > h.version {
 		return
 	}
-	h.record(rows, at, confirmedAt)
+	h.record(rows, at, came)
 }
 
 // record applies an answer. The caller holds mu.
-func (h *Hub) record(rows []rowstore.Row, at rowstore.Stamp, confirmedAt time.Duration) {
+func (h *Hub) record(rows []rowstore.Row, at rowstore.Stamp, came arrival) {
 	for _, row := range rows {
 		if row.Version >= h.rows[row.Key].Version {
 			h.rows[row.Key] = row
 		}
 	}
 	h.version = max(h.version, at.Version)
-	if confirmedAt > h.confirmedAt {
-		h.confirmedAt, h.storeNow = confirmedAt, at.Now
+	if came.at > h.last.at {
+		h.last, h.storeNow = came, at.Now
 	}
 	close(h.answered)
 	h.answered = make(chan struct{})
 }
 
 // Next returns the rows that have changed after a version, and waits for an
-// answer of the store that arrives within wait if there is none. err is
+// answer of the store that arrives within wait, and before the last one is older
+// than maxAge, if there is none. err is
 // rowstore.ErrCompacted if the hub knows all rows, but not all changes since that
 // version, and errNotTold if its rows are older than that.
 func (h *Hub) Next(ctx context.Context, after uint64, wait time.Duration) (rows []rowstore.Row, at rowstore.Stamp, err error) {
 	h.mu.Lock()
 	answered, changed := h.answered, h.version > after && len(h.changes(after)) > 0
+	wait = min(wait, max(0, h.last.at+maxAge-h.now()))
 	h.mu.Unlock()
 	if !changed {
 		timer := time.NewTimer(wait)
@@ -112,7 +127,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.confirmedAt == 0 || h.version < after:
+	case h.last.at == 0 || h.version < after:
 		return nil, rowstore.Stamp{}, errNotTold
 	case after < h.floor:
 		return nil, rowstore.Stamp{}, rowstore.ErrCompacted
@@ -125,7 +140,7 @@
 func (h *Hub) All(least uint64) (rows []rowstore.Row, at rowstore.Stamp, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.confirmedAt == 0 || h.version < least {
+	if h.last.at == 0 || h.version < least {
 		return nil, rowstore.Stamp{}, errNotTold
 	}
 	rows = slices.DeleteFunc(h.changes(0), func(r rowstore.Row) bool { return r.Deleted })
@@ -141,8 +156,8 @@
 
 // stamp returns the stamp of the last answer, as of now. The caller holds mu.
 func (h *Hub) stamp() rowstore.Stamp {
-	age := h.now() - h.confirmedAt
-	return rowstore.Stamp{Version: h.version, Now: h.storeNow + age, Age: age}
+	age := h.now() - h.last.at
+	return rowstore.Stamp{Version: h.version, Now: h.storeNow + age, Age: age, Lag: h.last.at - h.last.current}
 }
 
 // changes lists the rows that have changed after a version, oldest change first.
--- a/entry/watch/reader.go
+++ b/entry/watch/reader.go
@@ -14,15 +14,16 @@
 )
 
 const (
-	// maxAge is the age of a told state beyond which the entry reads the store
-	// itself. A store that answers is read each half second, and a slow one takes
-	// a third of a second to answer.
+	// maxAge is the time since the store's last answer beyond which the entry
+	// reads the store itself. A store that answers is read each half second, and a
+	// slow one takes a third of a second to answer.
 	maxAge = time.Second
 	// tellTimeout bounds the answer of the other entry, in addition to the wait.
 	tellTimeout = 250 * time.Millisecond
 	// askAgain is the time for which an entry reads the store itself after it was
-	// told nothing.
-	askAgain = 500 * time.Millisecond
+	// told nothing, askAgainOld after it was told something that was too old.
+	askAgain    = 500 * time.Millisecond
+	askAgainOld = 3 * time.Second
 )
 
 // Reader is a rowstore.Reader of a hub's table. It follows the table through the
@@ -62,16 +63,16 @@
 		// An older list must not hide what this entry knows already.
 		rows, at, err := r.askSource(ctx, source, dispatch.ChangesArgs{Table: table, All: true, After: r.hub.lastVersion()})
 		if err == nil {
-			r.hub.recordList(rows, at, r.hub.now()-at.Age)
+			r.hub.recordList(rows, at, arrivalOf(at, r.hub.now(), 0))
 			return rows, false, at, nil
 		}
-		r.directUntil = r.hub.now() + askAgain
+		r.leaveSource(err)
 	}
 	r.Counters.Direct.Add(1)
 	asked := r.hub.now()
 	rows, more, at, err := r.store.List(ctx, table, part, from, to)
 	if err == nil && whole && !more {
-		r.hub.recordList(rows, at, asked)
+		r.hub.recordList(rows, at, arrival{at: r.hub.now(), current: asked})
 	}
 	return rows, more, at, err
 }
@@ -85,30 +86,39 @@
 	return r.source()
 }
 
+// leaveSource makes the reader read the store after the other entry has failed.
+func (r *Reader) leaveSource(err error) {
+	pause := askAgain
+	if errors.Is(err, errNotTold) {
+		pause = askAgainOld
+	}
+	r.directUntil = r.hub.now() + pause
+}
+
 // Feed implements rowstore.Reader.
 func (r *Reader) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Row, rowstore.Stamp, error) {
 	if source := r.askedSource(); source != nil && table == r.hub.table {
 		rows, at, err := r.askSource(ctx, source, dispatch.ChangesArgs{Table: table, After: after, Wait: wait})
 		if err == nil {
-			r.hub.recordChanges(after, rows, at, r.hub.now()-at.Age)
+			r.hub.recordChanges(after, rows, at, arrivalOf(at, r.hub.now(), 0))
 		}
 		if err == nil || ctx.Err() != nil || errors.Is(err, rowstore.ErrCompacted) {
 			return rows, at, err
 		}
-		r.directUntil = r.hub.now() + askAgain
+		r.leaveSource(err)
 		// The other entry's silence has used up the wait.
 		wait = 0
 		progress.Received(ctx)
 	}
 	r.Counters.Direct.Add(1)
-	confirmed := r.hub.now()
+	current := r.hub.now()
 	rows, at, err := r.store.Feed(ctx, table, after, wait)
 	if err == nil && table == r.hub.table {
 		if len(rows) == 0 {
 			// Without changes, the state is current at the end of the wait.
-			confirmed = min(confirmed+wait, r.hub.now())
+			current = min(current+wait, r.hub.now())
 		}
-		r.hub.recordChanges(after, rows, at, confirmed)
+		r.hub.recordChanges(after, rows, at, arrival{at: r.hub.now(), current: current})
 	}
 	return rows, at, err
 }
@@ -123,10 +133,10 @@
 	if reply.Compacted {
 		return nil, rowstore.Stamp{}, eris.Wrapf(rowstore.ErrCompacted, "changes of %s at %s", args.Table, source.Address())
 	}
-	// The state had its age when the answer was sent, Waited after asked at the
+	// The stamp is as of the sending of the answer, Waited after asked at the
 	// earliest.
 	reply.At.Age += r.hub.now() - asked - reply.Waited
-	if !reply.Known || reply.At.Age > maxAge {
+	if !reply.Known || reply.At.Age >= maxAge {
 		return nil, rowstore.Stamp{}, eris.Wrapf(errNotTold, "changes of %s at %s", args.Table, source.Address())
 	}
 	for i := range reply.Rows {
--- a/entry/watch/watch_test.go
+++ b/entry/watch/watch_test.go
@@ -261,7 +261,7 @@
 func TestHubDoesNotAnswerForTimesBeforeItsList(t *testing.T) {
 	now := func() time.Duration { return time.Second }
 	h := NewHub(table, now)
-	h.recordList(nil, rowstore.Stamp{Version: 10}, time.Second)
+	h.recordList(nil, rowstore.Stamp{Version: 10}, arrival{at: time.Second, current: time.Second})
 	if _, _, err := h.Next(t.Context(), 9, 0); !errors.Is(err, rowstore.ErrCompacted) {
 		t.Errorf("for a version before its list the hub answers %v", err)
 	}
@@ -282,10 +282,10 @@
 		began := time.Now()
 		now := func() time.Duration { return time.Since(began) + time.Second }
 		h := NewHub(table, now)
-		h.recordList(nil, rowstore.Stamp{Version: 1, Now: time.Hour}, now())
+		h.recordList(nil, rowstore.Stamp{Version: 1, Now: time.Hour}, arrival{at: now(), current: now() - 100*time.Millisecond})
 		time.Sleep(700 * time.Millisecond)
 		_, at, err := h.Next(t.Context(), 1, 200*time.Millisecond)
-		if err != nil || at.Age != 900*time.Millisecond || at.Now != time.Hour+900*time.Millisecond {
+		if err != nil || at.Age != 900*time.Millisecond || at.Lag != 100*time.Millisecond || at.Now != time.Hour+900*time.Millisecond {
 			t.Errorf("stamp %+v, %v", at, err)
 		}
 	})
--- a/infra/rowstore/rowstore.go
+++ b/infra/rowstore/rowstore.go
@@ -68,9 +68,10 @@
 	Version uint64
 	// Now is a monotonic clock of the store.
 	Now time.Duration
-	// Age is the time since the answer was current, if another process has passed
-	// it on; 0 for an answer that came from the store.
-	Age time.Duration
+	// Age is the time since the store's answer arrived at the process that has
+	// passed it on, and Lag the time before that for which the state may have been
+	// out of date; both are 0 for an answer that came from the store.
+	Age, Lag time.Duration
 }
 
 // Store is the client's view of the store. Errors: *ConflictError,
