The question to the lease's holder is a type of entry/watch

It is about who reads the store for whom, as the rest of that package; the elector keeps what it decides by the answer. An entry's values are compressed once, also when all entries wait for them.

--- a/entry/scheduler/earliergrants.go
+++ b/entry/scheduler/earliergrants.go
@@ -22,14 +22,14 @@
 // earlierGrants returns the bound for a term that replaces the lease row last read.
 // Its holder sent the transaction that wrote the row before firstRead, and before
 // its address refused connections, and no later one was stored.
-func (e *Elector) earlierGrants(w *watch, lease leaseRow) earlierGrants {
-	sentBefore := w.firstRead
-	if w.endedAt > 0 && w.ended == lease.Process {
-		sentBefore = min(sentBefore, w.endedAt)
+func (e *Elector) earlierGrants(o *observations, lease leaseRow) earlierGrants {
+	sentBefore := o.firstRead
+	if o.endedAt > 0 && o.ended == lease.Process {
+		sentBefore = min(sentBefore, o.endedAt)
 	}
 	g := earlierGrants{end: sentBefore + validFor + time.Duration(clockDrift*float64(validFor)) + e.cfg.leaseLength()}
 	if lease.Released {
-		g.releasedBy, g.releasedAt = lease.Epoch, w.firstRead
+		g.releasedBy, g.releasedAt = lease.Epoch, o.firstRead
 	}
 	return g
 }
--- a/entry/scheduler/earliergrants_test.go
+++ b/entry/scheduler/earliergrants_test.go
@@ -13,7 +13,7 @@
 // observedLease returns an elector whose clock is now, and its watch of the lease.
 func observedLease(now *time.Duration) (*Elector, *watch) {
 	deps := Deps{Now: func() time.Duration { return *now }}
-	return NewElector(Config{Node: "a", Grant: testGrant}, deps), &watch{}
+	return NewElector(Config{Node: "a", Grant: testGrant}, deps), &observations{}
 }
 
 // Guards against a scheduler that counts the validity of the one before it from the
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"persimmonrock.example/entry/watch"
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/wait"
 	"persimmonrock.example/structs/scheduling"
@@ -69,8 +70,8 @@
 	return &Elector{cfg: cfg, deps: deps}
 }
 
-// watch holds an elector's observations of the lease.
-type watch struct {
+// observations are what an elector has seen of the lease.
+type observations struct {
 	version uint64
 	// firstRead is when version was first read. versionSince is the same, but it
 	// starts anew after maxReadGap without a read, like watchedSince; lastRead is
@@ -98,53 +99,53 @@
 	readTime time.Duration
 }
 
-func (w *watch) resetHolder() { w.refusedSince, w.unansweredSince, w.freeSince = 0, 0, 0 }
+func (o *observations) resetHolder() { o.refusedSince, o.unansweredSince, o.freeSince = 0, 0, 0 }
 
 // answerTimeout returns the timeout of a request sent at now. After an
 // unanswered request, the timeout ends about when unansweredAfter has passed.
-func (w *watch) answerTimeout(now time.Duration) time.Duration {
-	if w.unansweredSince == 0 {
+func (o *observations) answerTimeout(now time.Duration) time.Duration {
+	if o.unansweredSince == 0 {
 		return pingTimeout
 	}
-	return min(pingTimeout, max(minPingTimeout, w.unansweredSince+unansweredAfter-now))
+	return min(pingTimeout, max(minPingTimeout, o.unansweredSince+unansweredAfter-now))
 }
 
 // pause returns the time until the next look at the lease.
-func (w *watch) pause(now time.Duration) time.Duration {
+func (o *observations) pause(now time.Duration) time.Duration {
 	switch {
-	case now < w.successorUntil:
+	case now < o.successorUntil:
 		return successorPoll
-	case w.unansweredSince > 0 || w.freeSince > 0:
+	case o.unansweredSince > 0 || o.freeSince > 0:
 		return freePoll
 	}
 	return pollEvery
 }
 
 // record records that the lease had the version at now.
-func (w *watch) record(version uint64, now time.Duration) {
-	if version != w.version || w.firstRead == 0 {
-		w.firstRead = now
+func (o *observations) record(version uint64, now time.Duration) {
+	if version != o.version || o.firstRead == 0 {
+		o.firstRead = now
 	}
-	if version != w.version || w.versionSince == 0 || now-w.lastRead > maxReadGap {
-		w.version, w.versionSince = version, now
-		w.resetHolder()
+	if version != o.version || o.versionSince == 0 || now-o.lastRead > maxReadGap {
+		o.version, o.versionSince = version, now
+		o.resetHolder()
 	}
-	if w.watchedSince == 0 || now-w.lastRead > maxReadGap {
-		w.watchedSince = now
+	if o.watchedSince == 0 || now-o.lastRead > maxReadGap {
+		o.watchedSince = now
 	}
-	w.lastRead = now
+	o.lastRead = now
 }
 
 // Run watches the lease and serves terms until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
-	var w watch
+	var o observations
 	for ctx.Err() == nil {
-		q := e.ask(ctx, w.answerTimeout(e.deps.Now()))
-		if e.confirmed(&w, q) {
-			if e.requestLease(ctx, &w, e.knownLease()) {
-				w.successorUntil = e.deps.Now() + successorWait
+		q := e.ask(ctx, o.answerTimeout(e.deps.Now()))
+		if e.confirmed(&o, q) {
+			if e.requestLease(ctx, &o, e.knownLease()) {
+				o.successorUntil = e.deps.Now() + successorWait
 			}
-			wait.For(ctx, w.pause(e.deps.Now()))
+			wait.For(ctx, o.pause(e.deps.Now()))
 			continue
 		}
 		asked := e.deps.Now()
@@ -153,30 +154,30 @@
 			wait.For(ctx, pollEvery/2)
 			continue
 		}
-		w.readTime = e.deps.Now() - asked
-		lease, ok := e.observe(&w, row)
-		if ok && e.shouldTake(ctx, &w, lease, q) {
-			if term := e.acquire(ctx, row, e.earlierGrants(&w, lease)); term != nil {
+		o.readTime = e.deps.Now() - asked
+		lease, ok := e.observe(&o, row)
+		if ok && e.shouldTake(ctx, &o, lease, q) {
+			if term := e.acquire(ctx, row, e.earlierGrants(&o, lease)); term != nil {
 				e.serve(ctx, term)
-				w = watch{}
+				o = observations{}
 				continue
 			}
 		}
-		if ok && e.requestLease(ctx, &w, lease) {
-			w.successorUntil = e.deps.Now() + successorWait
+		if ok && e.requestLease(ctx, &o, lease) {
+			o.successorUntil = e.deps.Now() + successorWait
 		}
-		wait.For(ctx, w.pause(e.deps.Now()))
+		wait.For(ctx, o.pause(e.deps.Now()))
 	}
 }
 
 // Follow tracks the leader without ever taking the lease, for a process that is
 // stopping but still answers calls.
 func (e *Elector) Follow(ctx context.Context) {
-	var w watch
+	var o observations
 	for ctx.Err() == nil {
-		if !e.confirmed(&w, e.ask(ctx, pingTimeout)) {
+		if !e.confirmed(&o, e.ask(ctx, pingTimeout)) {
 			if row, err := rowstore.Get(ctx, e.deps.Store, leaseKey); err == nil {
-				e.observe(&w, row)
+				e.observe(&o, row)
 			}
 		}
 		wait.For(ctx, pollEvery/4)
@@ -184,8 +185,8 @@
 }
 
 // observe records one read. It returns false if the row can't be decoded.
-func (e *Elector) observe(w *watch, row rowstore.Row) (leaseRow, bool) {
-	w.record(row.Version, e.deps.Now())
+func (e *Elector) observe(o *observations, row rowstore.Row) (leaseRow, bool) {
+	o.record(row.Version, e.deps.Now())
 	var lease leaseRow
 	if row.Version == 0 {
 		return lease, true
@@ -222,73 +223,72 @@
 // behind, and some seconds later hands the lease to a stronger machine. The
 // handover pauses scheduling again. So an entry on a weaker machine than the
 // last holder's waits until the lease has been free for weakerWait.
-func (e *Elector) shouldTake(ctx context.Context, w *watch, lease leaseRow, q *question) bool {
-	if !e.leaseFree(ctx, w, lease, q) {
-		w.freeSince = 0
+func (e *Elector) shouldTake(ctx context.Context, o *observations, lease leaseRow, q *watch.Question) bool {
+	if !e.leaseFree(ctx, o, lease, q) {
+		o.freeSince = 0
 		return false
 	}
 	now := e.deps.Now()
-	if w.freeSince == 0 {
-		w.freeSince = now
+	if o.freeSince == 0 {
+		o.freeSince = now
 	}
 	weaker := e.cfg.Power > 0 && lease.Power >= strongerBy*e.cfg.Power
-	return !weaker || now-w.freeSince >= weakerWait
+	return !weaker || now-o.freeSince >= weakerWait
 }
 
 // leaseFree reports whether the lease may be taken: it was never taken, is
 // released and not reserved for another entry, belongs to this machine, or its
 // holder is gone or has not renewed it for staleAfter.
-func (e *Elector) leaseFree(ctx context.Context, w *watch, lease leaseRow, q *question) bool {
-	unchanged := e.deps.Now() - w.versionSince
+func (e *Elector) leaseFree(ctx context.Context, o *observations, lease leaseRow, q *watch.Question) bool {
+	unchanged := e.deps.Now() - o.versionSince
 	if lease.Released && e.reservedForSuccessor(lease, unchanged) {
 		return false
 	}
 	// A lease of an earlier process of this machine is free, too: a machine runs
 	// only one entry process at a time.
-	if w.version == 0 || lease.Released || lease.Process == e.cfg.Process || lease.Node == e.cfg.Node {
+	if o.version == 0 || lease.Released || lease.Process == e.cfg.Process || lease.Node == e.cfg.Node {
 		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
 	if unchanged >= staleAfter {
 		return true
 	}
-	return e.holderGone(ctx, w, lease, q)
+	return e.holderGone(ctx, o, lease, q)
 }
 
 // holderGone awaits the holder's answer to q, or asks it if q went to another
 // process. It reports whether the holder counts as gone: another process
 // answers, or refusedAfter or unansweredAfter has passed.
-func (e *Elector) holderGone(ctx context.Context, w *watch, lease leaseRow, q *question) bool {
-	unchanged := e.deps.Now() - w.versionSince
-	if q == nil || q.process != lease.Process {
-		q = e.ask(ctx, w.answerTimeout(e.deps.Now()))
+func (e *Elector) holderGone(ctx context.Context, o *observations, lease leaseRow, q *watch.Question) bool {
+	unchanged := e.deps.Now() - o.versionSince
+	if q == nil || q.Process != lease.Process {
+		q = e.ask(ctx, o.answerTimeout(e.deps.Now()))
 	}
 	if q == nil {
 		return false
 	}
-	<-q.done
-	asked, err := q.asked, q.err
-	if err == nil && q.reply.Process != lease.Process {
+	answered := q.Err() == nil
+	if answered && q.Replier() != lease.Process {
 		// The holder was killed, and its machine runs another process now.
 		wait.For(ctx, rand.N(takeJitter))
 		return true
 	}
-	if err == nil || q.ofOtherVersion() {
-		w.refusedSince, w.unansweredSince = 0, 0
+	if answered || q.Unknown() {
+		o.refusedSince, o.unansweredSince = 0, 0
 		return false
 	}
-	if w.unansweredSince == 0 {
-		w.unansweredSince = asked
+	if o.unansweredSince == 0 {
+		o.unansweredSince = q.Asked
 	}
 	now := e.deps.Now()
-	if connectionRefused(err) {
-		if w.refusedSince == 0 {
-			w.refusedSince = now
+	if q.Refused() {
+		if o.refusedSince == 0 {
+			o.refusedSince = now
 		}
-		return now-w.refusedSince >= refusedAfter && unchanged >= refusedAfter
+		return now-o.refusedSince >= refusedAfter && unchanged >= refusedAfter
 	}
-	w.refusedSince = 0
-	return now-w.unansweredSince >= unansweredAfter && unchanged >= unansweredAfter+readsPerTxn*w.readTime
+	o.refusedSince = 0
+	return now-o.unansweredSince >= unansweredAfter && unchanged >= unansweredAfter+readsPerTxn*o.readTime
 }
 
 // acquire takes the lease if row is still current. It returns the term, or nil.
--- a/entry/scheduler/holder.go
+++ b/entry/scheduler/holder.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"net/rpc"
 	"time"
 
-	"persimmonrock.example/wire/dispatch"
+	"persimmonrock.example/entry/watch"
 )
 
 // An entry asks the holder of the lease each pollEvery whether it still holds
@@ -44,72 +42,32 @@
 	return term.renewal.version, e.deps.Now() - term.renewal.sent
 }
 
-// question is a request to the holder of the lease that may be under way.
-type question struct {
-	link *dispatch.Link
-	// process is the holder when the request was sent, at asked.
-	process string
-	asked   time.Duration
-	done    chan struct{}
-	// reply and err are set once done is closed.
-	reply dispatch.LeaseReply
-	err   error
-}
-
-// ask sends a request to the known holder; it returns nil if there is none, or
+// ask sends a question to the known holder; it returns nil if there is none, or
 // if this process holds the lease.
-func (e *Elector) ask(ctx context.Context, timeout time.Duration) *question {
+func (e *Elector) ask(ctx context.Context, timeout time.Duration) *watch.Question {
 	e.mu.Lock()
-	q := &question{link: e.link, process: e.leader.Process, asked: e.deps.Now(), done: make(chan struct{})}
+	link, process := e.link, e.leader.Process
 	e.mu.Unlock()
-	if q.link == nil || q.process == e.cfg.Process {
+	if link == nil || process == e.cfg.Process {
 		return nil
 	}
-	go func() {
-		defer close(q.done)
-		q.err = q.link.Call(ctx, "Scheduler.Lease", dispatch.LeaseArgs{}, &q.reply, timeout)
-	}()
-	return q
-}
-
-// ofOtherVersion reports whether a process has answered that does not know the
-// request: it is of an earlier version.
-func (q *question) ofOtherVersion() bool {
-	var unknown rpc.ServerError
-	return errors.As(q.err, &unknown)
-}
-
-// answered waits for the answer, for wait at most.
-func (q *question) answered(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-q.done:
-		return true
-	case <-timer.C:
-		return false
-	}
+	return watch.AskHolder(ctx, link, process, timeout, e.deps.Now)
 }
 
 // confirmed reports whether the holder proves soon that it holds the lease, and
 // records the version as read then.
-func (e *Elector) confirmed(w *watch, q *question) bool {
-	if q == nil || !q.answered(confirmTimeout) {
+func (e *Elector) confirmed(o *observations, q *watch.Question) bool {
+	if q == nil || !q.Answered(confirmTimeout) {
 		return false
 	}
-	if connectionRefused(q.err) && w.ended != q.process {
-		w.ended, w.endedAt = q.process, e.deps.Now()
-	}
-	if q.err != nil {
-		return false
+	if q.Refused() && o.ended != q.Process {
+		o.ended, o.endedAt = q.Process, e.deps.Now()
 	}
-	held := q.reply.Process == q.process && q.reply.Version > 0
-	// The answer was on its way for at most the time since the request.
-	age := q.reply.Age + e.deps.Now() - q.asked
-	if !held || age >= provenFor {
+	version, age, ok := q.Held()
+	if !ok || age >= provenFor {
 		return false
 	}
-	w.record(q.reply.Version, e.deps.Now())
-	w.resetHolder()
+	o.record(version, e.deps.Now())
+	o.resetHolder()
 	return true
 }
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -1,16 +1,10 @@
 package scheduler
 
 import (
-	"errors"
-	"syscall"
-
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
 
-// connectionRefused reports whether nothing listens at the peer's address.
-func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // ready reports whether the term has loaded all jobs and its lease is valid.
 func (t *Term) ready() bool {
 	t.mu.Lock()
--- a/entry/scheduler/yield.go
+++ b/entry/scheduler/yield.go
@@ -46,12 +46,12 @@
 
 // requestLease asks the holder for the lease if this machine is stronger by
 // strongerBy. It reports whether the lease is about to be released.
-func (e *Elector) requestLease(ctx context.Context, w *watch, lease leaseRow) bool {
+func (e *Elector) requestLease(ctx context.Context, o *observations, lease leaseRow) bool {
 	now := e.deps.Now()
-	if lease.Released || lease.Power <= 0 || e.cfg.Power < strongerBy*lease.Power || now-w.watchedSince < steadyFor || now-w.requestedAt < requestEvery {
+	if lease.Released || lease.Power <= 0 || e.cfg.Power < strongerBy*lease.Power || now-o.watchedSince < steadyFor || now-o.requestedAt < requestEvery {
 		return false
 	}
-	w.requestedAt = now
+	o.requestedAt = now
 	link := e.Leader()
 	if link == nil {
 		return false
--- a/entry/watch/hub.go
+++ b/entry/watch/hub.go
@@ -28,10 +28,13 @@
 	table string
 	now   func() time.Duration
 
+	// packing is held while a value is compressed, so that the entries that wait
+	// for it share the work. packed holds the values that were passed on.
+	packing sync.Mutex
+	packed  map[rowstore.Key]packedRow
+
 	mu   sync.Mutex
 	rows map[rowstore.Key]rowstore.Row
-	// packed holds the compressed values of rows that were passed on.
-	packed map[rowstore.Key]packedRow
 	// floor is the version of the last list; deletions before it are not known.
 	floor uint64
 	// version and storeNow are those of the last answer.
@@ -47,13 +50,10 @@
 // until when its state was certainly current, both by the local clock.
 type arrival struct{ at, current time.Duration }
 
-// arrivalOf returns the arrival of an answer with the stamp that has just come.
-// A direct answer was current at current.
-func arrivalOf(stamp rowstore.Stamp, now, current time.Duration) arrival {
-	if stamp.Age > 0 {
-		current = now - stamp.Age - stamp.Lag
-	}
-	return arrival{at: now - stamp.Age, current: current}
+// toldArrival returns the arrival of an answer that another entry has just passed
+// on.
+func toldArrival(stamp rowstore.Stamp, now time.Duration) arrival {
+	return arrival{at: now - stamp.Age, current: now - stamp.Age - stamp.Lag}
 }
 
 type packedRow struct {
@@ -74,7 +74,6 @@
 		return
 	}
 	clear(h.rows)
-	clear(h.packed)
 	h.floor = at.Version
 	h.record(rows, at, came)
 }
@@ -105,11 +104,11 @@
 	h.answered = make(chan struct{})
 }
 
-// Next returns the rows that have changed after a version, and waits for an
-// answer of the store that arrives within wait, and before the last one is older
-// than maxAge, if there is none. err is
-// rowstore.ErrCompacted if the hub knows all rows, but not all changes since that
-// version, and errNotTold if its rows are older than that.
+// Next returns the rows that have changed after a version. If there are none, it
+// waits for the store's next answer, for wait at most, and until the last answer
+// is older than maxAge. err is rowstore.ErrCompacted if the hub knows all rows,
+// but not all changes since the version, and errNotTold if its rows are older
+// than the version.
 func (h *Hub) Next(ctx context.Context, after uint64, wait time.Duration) (rows []rowstore.Row, at rowstore.Stamp, err error) {
 	h.mu.Lock()
 	answered, changed := h.answered, h.version > after && len(h.changes(after)) > 0
@@ -176,16 +175,14 @@
 // pack compresses the values of rows in place. A value is compressed once for
 // all entries.
 func (h *Hub) pack(rows []rowstore.Row) {
+	h.packing.Lock()
+	defer h.packing.Unlock()
 	for i := range rows {
 		row := &rows[i]
-		h.mu.Lock()
 		p := h.packed[row.Key]
-		h.mu.Unlock()
 		if p.version != row.Version {
 			p = packedRow{version: row.Version, value: dispatch.Pack(row.Value)}
-			h.mu.Lock()
 			h.packed[row.Key] = p
-			h.mu.Unlock()
 		}
 		row.Value = p.value
 	}
--- a/entry/watch/reader.go
+++ b/entry/watch/reader.go
@@ -63,7 +63,7 @@
 		// An older list must not hide what this entry knows already.
 		rows, at, err := r.askSource(ctx, source, dispatch.ChangesArgs{Table: table, All: true, After: r.hub.lastVersion()})
 		if err == nil {
-			r.hub.recordList(rows, at, arrivalOf(at, r.hub.now(), 0))
+			r.hub.recordList(rows, at, toldArrival(at, r.hub.now()))
 			return rows, false, at, nil
 		}
 		r.leaveSource(err)
@@ -100,7 +100,7 @@
 	if source := r.askedSource(); source != nil && table == r.hub.table {
 		rows, at, err := r.askSource(ctx, source, dispatch.ChangesArgs{Table: table, After: after, Wait: wait})
 		if err == nil {
-			r.hub.recordChanges(after, rows, at, arrivalOf(at, r.hub.now(), 0))
+			r.hub.recordChanges(after, rows, at, toldArrival(at, r.hub.now()))
 		}
 		if err == nil || ctx.Err() != nil || errors.Is(err, rowstore.ErrCompacted) {
 			return rows, at, err
