--- a/entry/scheduler/earliergrants_test.go
+++ b/entry/scheduler/earliergrants_test.go
@@ -11,7 +11,7 @@
 const testGrant = 5 * time.Second
 
 // observedLease returns an elector whose clock is now, and its watch of the lease.
-func observedLease(now *time.Duration) (*Elector, *watch) {
+func observedLease(now *time.Duration) (*Elector, *observations) {
 	deps := Deps{Now: func() time.Duration { return *now }}
 	return NewElector(Config{Node: "a", Grant: testGrant}, deps), &observations{}
 }
