One line for the runs that may have crashed their workers, or have not

Change: both are events of the batch, with run, worker and number of crashes as members; explain prints of such a line what belongs to the job that is asked for.

Test: TestExplainReadsLinesAboutManyRuns.

--- a/cmd/persimmonrock/explain.go
+++ b/cmd/persimmonrock/explain.go
@@ -132,7 +132,10 @@
 	Occurrence int      `json:"occurrence"`
 	Step       int      `json:"step"`
 	Placements []string `json:"placements"`
-	fields     map[string]any
+	// Members lists what a line of a logs.Batch is about; a member may begin with a
+	// run.
+	Members []string `json:"members"`
+	fields  map[string]any
 }
 
 // mentions reports whether the line is about id, the name of a job, task or
@@ -141,6 +144,9 @@
 	if l.Job == id || isPartOf(l.Run, id) {
 		return true
 	}
+	if len(l.membersOf(id)) > 0 {
+		return true
+	}
 	for _, placed := range l.Placements {
 		if p, ok := logs.ParsePlacedRun(placed); ok && isPartOf(p.Name(l.Job, l.Occurrence, l.Step), id) {
 			return true
@@ -149,6 +155,18 @@
 	return false
 }
 
+// membersOf returns the members that begin with a run of the job or task id.
+func (l *logLine) membersOf(id string) []string {
+	var members []string
+	for _, m := range l.Members {
+		run, _, _ := strings.Cut(m, " ")
+		if isPartOf(run, id) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // isPartOf reports whether run is id, or a run of the job or task id.
 func isPartOf(run, id string) bool {
 	rest, ok := strings.CutPrefix(run, id)
@@ -225,6 +243,10 @@
 			*gaps = append(*gaps, &l)
 			return
 		}
+		if members := l.membersOf(id); len(members) > 0 {
+			// The others belong to other jobs.
+			l.fields["members"] = members
+		}
 		*lines = append(*lines, &l)
 	})
 }
--- a/cmd/persimmonrock/explain_test.go
+++ b/cmd/persimmonrock/explain_test.go
@@ -103,3 +103,23 @@
 		t.Errorf("no such file: status %d", status)
 	}
 }
+
+// Guards against a job whose story lacks what a line says of many runs, or that
+// is told of the runs of all other jobs.
+func TestExplainReadsLinesAboutManyRuns(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "a.log")
+	text := `{"level":"info","process":"entry-1","count":2,"members":["5c0e7a21d94b36f8.0.0.1#1 w-1 1","ffffe7a21d94b36f.0.0.1#1 w-1 1"],"runs":2,"why":"begun: true","time":1000,"message":"runs may have crashed their workers"}
+{"level":"warn","process":"entry-1","count":1,"members":["agent-1 w-1"],"runs":2,"time":1001,"message":"workers lost"}
+`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs strings.Builder
+	if status := runExplain(t.Context(), []string{"5c0e7a21d94b36f8", file}, &out, &errs); status != exitOK {
+		t.Fatalf("status %d: %s", status, errs.String())
+	}
+	got := out.String()
+	if !strings.Contains(got, "5c0e7a21d94b36f8.0.0.1#1 w-1 1") || strings.Contains(got, "ffffe7a21d94b36f") || strings.Contains(got, "workers lost") {
+		t.Errorf("printed %s", got)
+	}
+}
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -1,8 +1,12 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"persimmonrock.example/ops/logs"
 	"persimmonrock.example/structs/workload"
 	"persimmonrock.example/wire/dispatch"
 )
@@ -111,6 +115,12 @@
 	return k.presentAt > 0 && w.answeredAt-k.presentAt >= provenAfter
 }
 
+// suspectLabel names a run, its worker and the crashes that its task may have
+// caused, in log lines on many runs.
+func suspectLabel(run workload.RunID, w *worker, k *task) string {
+	return fmt.Sprintf("%s %s %d", run, w.id, k.crashes)
+}
+
 // recordSuspects counts the loss of w as a possible crash by each suspect. It
 // fails the jobs that are known to crash workers, and jobs that were suspected
 // too often. The caller holds mu and has removed the runs of w.
@@ -126,8 +136,8 @@
 		}
 		s.task.quickCrashes = nextConsecutive(s.task.quickCrashes, s.soon)
 		t.deps.Counters.Blamed.Add(1)
-		t.deps.Log.Info().Stringer("run", s.run).Str("worker", string(w.id)).Int("crashes", s.task.crashes).Bool("begun", s.begun).Bool("soon", s.soon).Bool("prime", s.prime).
-			Msg("run may have crashed its worker")
+		evidence := fmt.Sprintf("begun: %t, soon: %t, prime: %t", s.begun, s.soon, s.prime)
+		t.fleetLog.Add(logs.Kind{Level: zerolog.InfoLevel, Message: "runs may have crashed their workers", Why: evidence}, suspectLabel(s.run, w, s.task), 1)
 	}
 	// The suspects are kept: if w is only unreachable now, a certain crash is
 	// counted when its incarnation ends.
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -368,7 +368,7 @@
 		k.work = runWork{known: true, at: t.deps.Now(), pace: r.Work.Pace, worked: r.Work.Worked, left: r.Work.Left}
 	}
 	if r.Proven && k.crashes > 0 {
-		t.deps.Log.Info().Stringer("run", r.Run).Str("worker", string(w.id)).Int("crashes", k.crashes).Msg("run has not crashed its worker")
+		t.fleetLog.Add(logs.Kind{Level: zerolog.InfoLevel, Message: "runs have not crashed their workers"}, suspectLabel(r.Run, w, k), 1)
 		t.clearCrashes(j, k)
 		return true
 	}
