--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -60,6 +60,7 @@
 	changed   chan struct{}
 	silent    bool
 	refusedTx int
+	largest   int // the largest row that was stored, in bytes
 }
 
 func newStore(rec *record) *store {
@@ -182,6 +183,7 @@
 	s.version++
 	v := s.version
 	for _, p := range t.Puts {
+		s.largest = max(s.largest, len(p.Value))
 		p.Version, p.Tombstone = &v, false
 		s.rows[p.id()] = p
 		s.history = append(s.history, change{p, time.Now()})
@@ -284,3 +286,9 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
 }
+
+func (s *store) largestRow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.largest
+}
