--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,6 +23,7 @@
 	MemMB      int   `json:"mem-mb"`
 	EstimateMs int   `json:"estimated-ms"`
 	After      []int `json:"after,omitempty"`
+	Lasts      bool  `json:"long-running,omitempty"`
 }
 
 type job struct {
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -11,8 +11,10 @@
 	crashAfter = 300 * time.Millisecond
 )
 
-// twoCrashes: two minions crash, each while it has just begun a task of one job.
+// twoCrashes: two minions crash, each while it has just begun a task of one job that
+// lasts.
 func twoCrashes(rec *record, trouble bool) ([]string, error) {
+	const tasks = 6
 	d, err := deploy(rec, 2, 11)
 	if d != nil {
 		defer d.close()
@@ -20,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	id, ok := d.submit(0, job{Spec: "work-ms=2200", Steps: []step{{Count: 4, CPU: 7000, MemMB: 13000, EstimateMs: 2200}}})
+	id, ok := d.submit(0, job{Spec: "work-ms=600000 lasts", Steps: []step{{Count: tasks, CPU: 13000, MemMB: 26000, EstimateMs: 320, Lasts: true}}})
 	if !ok {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
@@ -37,11 +39,14 @@
 			time.AfterFunc(crashed, func() { _ = h.start() })
 		}
 	}
-	states := d.awaitStates([]string{id}, 20*time.Second)
+	states := d.awaitStates([]string{id}, 25*time.Second)
 	c := rec.counts(id + ".")
 	rec.say("job %s is %s; its runs: %v", id, states[id], c)
 	if states[id] == "failed" && c["failed"] == 0 {
-		return []string{fmt.Sprintf("LOST: job %s is shown as failed, though none of its runs has ended failed", id)}, nil
+		return []string{fmt.Sprintf("LOST: job %s, which lasts, is shown as failed, though none of its runs has ended failed; %d of its %d tasks run", id, c["running"], tasks)}, nil
+	}
+	if c["running"] != tasks {
+		return nil, fmt.Errorf("%d tasks run, not %d", c["running"], tasks)
 	}
 	return nil, nil
 }
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -16,6 +16,7 @@
 	maxHold    = 10 * time.Second
 	stopTime   = 200 * time.Millisecond
 	listedEnds = 500
+	startup    = 320 * time.Millisecond
 	beatEvery  = 1100 * time.Millisecond
 )
 
@@ -67,6 +68,7 @@
 	run      int
 	began    time.Time
 	work     time.Duration
+	lasts    bool
 	stopping bool
 	timer    *time.Timer
 }
@@ -226,6 +228,18 @@
 	m.lease = max(m.lease, min(deadline, m.clock()+maxHold.Milliseconds()))
 }
 
+// percent of the work that is done. A task that lasts is at work after a short
+// startup.
+func (x *taskRun) percent() int {
+	switch {
+	case !x.lasts:
+		return min(99, int(100*time.Since(x.began)/x.work))
+	case time.Since(x.began) < startup:
+		return 50
+	}
+	return 100
+}
+
 func runKey(task string, run int) string { return task + "#" + strconv.Itoa(run) }
 
 // workOf reads the duration from the task's text: "work-ms=N".
@@ -265,7 +279,7 @@
 		m.refuse(w, "old")
 		return
 	default:
-		x := &taskRun{task: o.Task, run: o.Run, began: time.Now(), work: workOf(o.Spec, o.Task)}
+		x := &taskRun{task: o.Task, run: o.Run, began: time.Now(), work: workOf(o.Spec, o.Task), lasts: strings.Contains(o.Spec, "lasts")}
 		m.runs[key] = x
 		m.highest[o.Task] = o.Run
 		m.host.rec.started(m, o)
@@ -344,7 +358,7 @@
 	defer m.mu.Unlock()
 	running := [][]any{}
 	for _, x := range m.runs {
-		running = append(running, []any{x.task, x.run, "", min(99, int(100*time.Since(x.began)/x.work)), 0})
+		running = append(running, []any{x.task, x.run, "", x.percent(), 0})
 	}
 	ended := append([]endRow{}, m.ended[:min(len(m.ended), listedEnds)]...)
 	writeJSON(w, http.StatusOK, map[string]any{"clock-ms": m.clock(), "running": running, "ended": ended})
