--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the review into target/. They use the standard library only.
+# Builds the stand-ins of the review into target/, from the project's own modules.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
-GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review-standin .
+cd "$(dirname "$0")/.."
+GOFLAGS=-buildvcs=false go build -o target/review-standin review/standin/*.go
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"persimmonrock.example/structs/workload"
 )
 
 const storeOutage = 4200 * time.Millisecond
@@ -23,7 +25,7 @@
 	var group sync.WaitGroup
 	for n := range ids {
 		group.Go(func() {
-			id, ok := d.submit(n, job{Spec: "work-ms=2800 spread-ms=900", Steps: []step{{Count: width, CPU: 100, MemMB: 300, EstimateMs: 3200}}})
+			id, ok := d.submit(n, "work-ms=2800 spread-ms=900", workload.Step{Count: width, Need: workload.Resources{CPU: 100, Memory: 300}, Estimate: 3200 * time.Millisecond})
 			if ok {
 				ids[n] = id
 			}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,15 +1,16 @@
 package main
 
 import (
-	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"persimmonrock.example/platform/standin"
+	"persimmonrock.example/structs/workload"
 )
 
 const (
@@ -17,88 +18,57 @@
 	clientTries    = 5
 )
 
-type step struct {
-	Count      int   `json:"count"`
-	CPU        int   `json:"cpu"`
-	MemMB      int   `json:"mem-mb"`
-	EstimateMs int   `json:"estimated-ms"`
-	After      []int `json:"after,omitempty"`
-	Lasts      bool  `json:"long-running,omitempty"`
-}
-
-type job struct {
-	Spec  string `json:"task-spec"`
-	Steps []step `json:"steps"`
-}
-
 // cpuOf is what a task of each job requests, in thousandths of a core.
 var (
 	cpuMu sync.Mutex
 	cpuOf = map[string]int{}
 )
 
-func newID() string {
+func newID() workload.JobID {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
+	return workload.JobID(hex.EncodeToString(b[:]))
 }
 
-// call makes one call to an entry; status is 0 without an answer.
-func (d *deployment) call(entry int, method, id string, body any) (status int, text string) {
-	var in io.Reader
-	if body != nil {
-		b, _ := json.Marshal(body)
-		in = bytes.NewReader(b)
-	}
-	req, err := http.NewRequest(method, "http://"+d.entries[entry%len(d.entries)].front()+queuePrefix+id, in)
-	if err != nil {
-		return 0, ""
-	}
-	req.Host = queueHost
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("X-Deadline-Ms", "3000")
-	client := http.Client{Timeout: clientDeadline}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	out, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, strings.TrimSpace(string(out))
+// client returns a client of an entry, and the context of one call.
+func (d *deployment) client(entry int) (*standin.Client, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
+	return &standin.Client{Address: d.entries[entry%len(d.entries)].Clients(), HTTP: http.DefaultClient}, ctx, cancel
 }
 
 // submit hands a job in, with the retries of a client at the other entries. It
 // reports whether the job was accepted.
-func (d *deployment) submit(entry int, j job) (id string, accepted bool) {
-	id = newID()
+func (d *deployment) submit(entry int, payload string, step workload.Step) (id string, accepted bool) {
+	j := workload.Job{ID: newID(), Payload: payload, Steps: []workload.Step{step}}
+	id = string(j.ID)
 	cpuMu.Lock()
-	cpuOf[id] = j.Steps[0].CPU
+	cpuOf[id] = step.Need.CPU
 	cpuMu.Unlock()
 	for try := range clientTries {
-		status, _ := d.call(entry+try, http.MethodPost, id, j)
-		d.rec.add("job %s is handed in: %d", id, status)
-		switch {
-		case status >= 200 && status < 300:
+		c, ctx, cancel := d.client(entry + try)
+		err := c.Submit(ctx, queue, j)
+		cancel()
+		d.rec.add("job %s is handed in: accepted %t, %v", id, err == nil, err)
+		if err == nil {
 			return id, true
-		case status >= 400 && status < 500 && status != http.StatusTooManyRequests:
-			return id, false
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
 	return id, false
 }
 
-// state asks for a job's state.
-func (d *deployment) state(entry int, id string) (int, string) {
-	status, text := d.call(entry, http.MethodGet, id, nil)
-	var a struct {
-		State string `json:"state"`
+// state asks for a job's state; it is "unknown" without an answer.
+func (d *deployment) state(entry int, id string) string {
+	c, ctx, cancel := d.client(entry)
+	defer cancel()
+	s, err := c.State(ctx, queue, workload.JobID(id))
+	switch {
+	case errors.Is(err, workload.ErrNoJob):
+		return "no such job"
+	case err != nil:
+		return "unknown"
 	}
-	_ = json.Unmarshal([]byte(text), &a)
-	return status, a.State
+	return string(s)
 }
 
 // awaitStates asks for the states of jobs until all are final or the time is over.
@@ -108,15 +78,15 @@
 	for {
 		open := 0
 		for n, id := range ids {
-			if s := states[id]; s == "completed" || s == "failed" || s == "cancelled" {
+			if workload.State(states[id]).Final() {
 				continue
 			}
-			status, s := d.state(n, id)
+			s := d.state(n, id)
 			if s != states[id] {
-				d.rec.add("job %s is shown: %d %s", id, status, s)
+				d.rec.add("job %s is shown as: %s", id, s)
 			}
 			states[id] = s
-			if s != "completed" && s != "failed" && s != "cancelled" {
+			if !workload.State(s).Final() {
 				open++
 			}
 		}
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
+
+	"persimmonrock.example/structs/workload"
 )
 
 const (
@@ -22,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	id, ok := d.submit(0, job{Spec: "work-ms=600000 lasts", Steps: []step{{Count: tasks, CPU: 13000, MemMB: 26000, EstimateMs: 320, Lasts: true}}})
+	id, ok := d.submit(0, "work-ms=600000 lasts", workload.Step{Count: tasks, Need: workload.Resources{CPU: 13000, Memory: 26000}, Estimate: 320 * time.Millisecond, Lasting: true})
 	if !ok {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
@@ -57,8 +58,8 @@
 		for _, h := range d.hosts {
 			m := h.current()
 			m.mu.Lock()
-			for key := range m.runs {
-				if strings.HasPrefix(key, task+"#") {
+			for id := range m.runs {
+				if id.Task.String() == task {
 					m.mu.Unlock()
 					return h
 				}
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -1,8 +1,7 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +9,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"persimmonrock.example/infra/workerctl"
+	"persimmonrock.example/platform/standin"
+	"persimmonrock.example/structs/workload"
 )
 
 const (
@@ -17,26 +20,18 @@
 	stopTime   = 200 * time.Millisecond
 	listedEnds = 500
 	startup    = 320 * time.Millisecond
-	beatEvery  = 1100 * time.Millisecond
+	beatEvery  = 500 * time.Millisecond
 )
 
-// capacity of a minion, as on the sheet of gnac-sched.
-type capacity struct {
-	CPU   int `json:"cpu"`
-	MemMB int `json:"mem-mb"`
-	GPU   int `json:"gpu"`
-}
-
 // minionHost is the machine of a minion. It runs one life of the minion at a
 // time, at the same address.
 type minionHost struct {
 	rec     *record
 	name    string
-	zone    string
 	rack    string
-	room    capacity
 	address string
-	control string
+	// reports is where the agent takes the minion's reports.
+	reports string
 
 	mu    sync.Mutex
 	lives int
@@ -44,28 +39,25 @@
 	srv   *http.Server
 }
 
-// minion is one life.
+// minion is one life, a workerctl.Control.
 type minion struct {
 	host  *minionHost
-	id    string
+	info  workload.Worker
 	began time.Time
 
 	mu      sync.Mutex
 	dead    bool
-	seq     int
 	token   uint64
-	lease   int64
-	runs    map[string]*taskRun
-	highest map[string]int
-	ended   []endRow
-	number  int
-	seen    int
+	lease   workerctl.Clock
+	runs    map[workload.RunID]*taskRun
+	highest map[workload.TaskID]int
+	ended   []workload.End
+	number  uint64
 	changed chan struct{}
 }
 
 type taskRun struct {
-	task     string
-	run      int
+	id       workload.RunID
 	began    time.Time
 	work     time.Duration
 	lasts    bool
@@ -73,17 +65,6 @@
 	timer    *time.Timer
 }
 
-type endRow struct {
-	number int
-	task   string
-	run    int
-	how    string
-}
-
-func (e endRow) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{e.number, e.task, e.run, e.how, ""})
-}
-
 // start begins a new life, with a new ID.
 func (h *minionHost) start() error {
 	l, err := net.Listen("tcp", h.address)
@@ -93,35 +74,39 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lives++
-	m := &minion{host: h, id: fmt.Sprintf("i-%s-%d", h.name, h.lives), began: time.Now(), runs: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{})}
+	m := &minion{
+		host: h, began: time.Now(), runs: map[workload.RunID]*taskRun{}, highest: map[workload.TaskID]int{}, changed: make(chan struct{}),
+		info: workload.Worker{
+			ID: workload.WorkerID(fmt.Sprintf("i-%s-%d", h.name, h.lives)), Service: serviceName, Labels: []string{"a", h.rack},
+			Capacity: workload.Resources{CPU: hostCPU, Memory: hostMemory},
+		},
+	}
 	h.life = m
-	h.srv = &http.Server{Handler: m.handler()}
+	h.srv = &http.Server{Handler: standin.WorkerHandler(m)}
 	go h.srv.Serve(l)
-	go m.beat()
+	go m.report()
 	go m.watchLease()
-	h.rec.add("minion %s begins", m.id)
+	h.rec.add("minion %s begins", m.info.ID)
 	return nil
 }
 
 // crash ends the present life: what runs there is gone, nothing listens.
-func (h *minionHost) crash() string {
+func (h *minionHost) crash() workload.WorkerID {
 	h.mu.Lock()
 	m, srv := h.life, h.srv
 	h.mu.Unlock()
 	m.mu.Lock()
 	m.dead = true
 	n := len(m.runs)
-	var lost []string
-	for key, x := range m.runs {
+	for _, x := range m.runs {
 		x.timer.Stop()
-		lost = append(lost, key)
 	}
-	m.runs = map[string]*taskRun{}
+	m.runs = map[workload.RunID]*taskRun{}
 	m.mu.Unlock()
 	srv.Close()
-	h.rec.crashed(m, lost)
-	h.rec.add("minion %s crashes with %d runs", m.id, n)
-	return m.id
+	h.rec.crashed(m)
+	h.rec.add("minion %s crashes with %d runs", m.info.ID, n)
+	return m.info.ID
 }
 
 func (h *minionHost) current() *minion {
@@ -130,32 +115,21 @@
 	return h.life
 }
 
-func (m *minion) clock() int64 { return time.Since(m.began).Milliseconds() + 1000 }
+func (m *minion) clock() workerctl.Clock { return workerctl.Clock(1000).Add(time.Since(m.began)) }
 
-// beat sends heartbeats to the agent's address on the minion's machine.
-func (m *minion) beat() {
-	client := &http.Client{Timeout: time.Second}
-	for {
+// report sends reports to the agent until the life ends.
+func (m *minion) report() {
+	for n := uint64(1); ; n++ {
 		m.mu.Lock()
-		if m.dead {
-			m.mu.Unlock()
-			return
-		}
-		m.seq++
-		body, _ := json.Marshal(map[string]any{
-			"service": serviceName, "address": m.host.address, "zone": m.host.zone, "version": "v1", "slots": 8, "state": "ready",
-			"cold-remaining-ms": 0, "capacity": m.host.room, "labels": []string{"a", m.host.rack}, "clock-ms": m.clock(), "seq-no": m.seq,
-		})
+		dead := m.dead
 		m.mu.Unlock()
-		resp, err := client.Post("http://"+m.host.control+"/Instances.Heartbeat/"+m.id, "application/json", bytes.NewReader(body))
-		if err == nil {
-			resp.Body.Close()
-		}
-		pause := beatEvery
-		if err != nil {
-			pause = 200 * time.Millisecond
+		if dead {
+			return
 		}
-		time.Sleep(pause)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = standin.Report(ctx, m.host.reports, m.info, n) // the next report follows soon
+		cancel()
+		time.Sleep(beatEvery)
 	}
 }
 
@@ -170,7 +144,7 @@
 		}
 		if len(m.runs) > 0 && m.clock() > m.lease {
 			for _, x := range m.runs {
-				m.end(x, "lapsed")
+				m.end(x, workload.EndLapsed)
 			}
 			m.host.rec.lapsed(m, m.number)
 		}
@@ -178,201 +152,172 @@
 	}
 }
 
-type order struct {
-	Task     string `json:"task"`
-	Run      int    `json:"run"`
-	Spec     string `json:"task-spec"`
-	Deadline int64  `json:"deadline-ms"`
-	Token    uint64 `json:"fencing-token"`
-	Seen     int    `json:"last-seen"`
-	WaitMs   int64  `json:"wait-ms"`
-}
-
-func (m *minion) handler() http.Handler {
-	mux := http.NewServeMux()
-	for path, do := range map[string]func(http.ResponseWriter, *http.Request, order){
-		"/run-start": m.runStart, "/run-stop": m.runStop, "/pace": m.pace, "/hold": m.hold,
-	} {
-		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-			var o order
-			if json.NewDecoder(r.Body).Decode(&o) != nil {
-				w.WriteHeader(http.StatusBadRequest)
-				return
-			}
-			if id := r.Header.Get("X-Target-Instance"); id != m.id {
-				w.WriteHeader(http.StatusMisdirectedRequest)
-				return
-			}
-			do(w, r, o)
-		})
-	}
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	return mux
-}
-
-// fence refuses lower tokens than the highest seen. The caller holds mu.
-func (m *minion) fence(w http.ResponseWriter, o order) bool {
-	if o.Token < m.token {
-		m.refuse(w, "fence")
-		return false
+// admit checks a call that names an incarnation and shows a token. The caller
+// holds mu.
+func (m *minion) admit(incarnation workload.WorkerID, token uint64) error {
+	switch {
+	case m.dead:
+		return workerctl.ErrUnknown
+	case incarnation != m.info.ID:
+		return workerctl.ErrGone
+	case token < m.token:
+		return &workerctl.RefusedError{Reason: workerctl.RefusedFence}
 	}
-	m.token = o.Token
-	return true
-}
-
-func (m *minion) refuse(w http.ResponseWriter, why string) {
-	writeJSON(w, http.StatusConflict, map[string]any{"clock-ms": m.clock(), "reason": why})
+	m.token = token
+	return nil
 }
 
-func (m *minion) extend(deadline int64) {
-	m.lease = max(m.lease, min(deadline, m.clock()+maxHold.Milliseconds()))
+func (m *minion) extend(lease workerctl.Clock) {
+	m.lease = max(m.lease, min(lease, m.clock().Add(maxHold)))
 }
 
-// percent of the work that is done. A task that lasts is at work after a short
-// startup.
-func (x *taskRun) percent() int {
-	switch {
-	case !x.lasts:
-		return min(99, int(100*time.Since(x.began)/x.work))
-	case time.Since(x.began) < startup:
-		return 50
+// number reads "name=N" from a task's text.
+func number(spec, name string) int {
+	_, text, ok := strings.Cut(spec, name+"=")
+	if !ok {
+		return 0
 	}
-	return 100
+	n, _ := strconv.Atoi(strings.Fields(text)[0])
+	return n
 }
 
-func runKey(task string, run int) string { return task + "#" + strconv.Itoa(run) }
-
-// workOf reads the duration from the task's text: "work-ms=N".
-func workOf(spec, task string) time.Duration {
-	ms := 1000
-	if _, text, ok := strings.Cut(spec, "work-ms="); ok {
-		if n, err := strconv.Atoi(strings.Fields(text)[0]); err == nil {
-			ms = n
-		}
-	}
-	if _, text, ok := strings.Cut(spec, "spread-ms="); ok {
-		if n, err := strconv.Atoi(strings.Fields(text)[0]); err == nil && n > 0 {
-			h := 0
-			for _, c := range task {
-				h = (h*31 + int(c)) % 1000003
-			}
-			ms += h % n
+// workOf is the duration of a task: work-ms, and up to spread-ms more by its name.
+func workOf(spec string, task workload.TaskID) time.Duration {
+	ms := number(spec, "work-ms")
+	if n := number(spec, "spread-ms"); n > 0 {
+		h := 0
+		for _, c := range task.String() {
+			h = (h*31 + int(c)) % 1000003
 		}
+		ms += h % n
 	}
 	return time.Duration(ms) * time.Millisecond
 }
 
-func (m *minion) runStart(w http.ResponseWriter, _ *http.Request, o order) {
+// Start implements workerctl.Control.
+func (m *minion) Start(_ context.Context, incarnation workload.WorkerID, o workerctl.StartOrder) (workerctl.Clock, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.dead || !m.fence(w, o) {
-		return
+	if err := m.admit(incarnation, o.Token); err != nil {
+		return m.clock(), err
 	}
-	m.extend(o.Deadline)
-	key := runKey(o.Task, o.Run)
+	m.extend(o.Lease)
 	switch {
-	case m.runs[key] != nil:
-	case o.Deadline < m.clock():
-		m.refuse(w, "late")
-		return
-	case o.Run <= m.highest[o.Task]:
-		m.refuse(w, "old")
-		return
-	default:
-		x := &taskRun{task: o.Task, run: o.Run, began: time.Now(), work: workOf(o.Spec, o.Task), lasts: strings.Contains(o.Spec, "lasts")}
-		m.runs[key] = x
-		m.highest[o.Task] = o.Run
-		m.host.rec.started(m, o)
-		x.timer = time.AfterFunc(x.work, func() {
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			if m.runs[key] == x && !x.stopping {
-				m.end(x, "done")
-			}
-		})
+	case m.runs[o.Run] != nil:
+		return m.clock(), nil
+	case o.Lease < m.clock():
+		return m.clock(), &workerctl.RefusedError{Reason: workerctl.RefusedLate}
+	case o.Run.Run <= m.highest[o.Run.Task]:
+		return m.clock(), &workerctl.RefusedError{Reason: workerctl.RefusedOld}
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"clock-ms": m.clock()})
+	x := &taskRun{id: o.Run, began: time.Now(), work: workOf(o.Payload, o.Run.Task), lasts: strings.Contains(o.Payload, "lasts")}
+	m.runs[o.Run] = x
+	m.highest[o.Run.Task] = o.Run.Run
+	m.host.rec.started(m, o.Run)
+	x.timer = time.AfterFunc(x.work, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.runs[o.Run] == x && !x.stopping {
+			m.end(x, workload.EndDone)
+		}
+	})
+	return m.clock(), nil
 }
 
 // end records the end of a run. The caller holds mu.
-func (m *minion) end(x *taskRun, how string) {
+func (m *minion) end(x *taskRun, how workload.EndKind) {
 	x.timer.Stop()
-	delete(m.runs, runKey(x.task, x.run))
+	delete(m.runs, x.id)
 	m.number++
-	e := endRow{m.number, x.task, x.run, how}
+	e := workload.End{Number: m.number, Run: x.id, Kind: how}
 	m.ended = append(m.ended, e)
 	m.host.rec.ended(m, e)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
-func (m *minion) runStop(w http.ResponseWriter, _ *http.Request, o order) {
+// Stop implements workerctl.Control.
+func (m *minion) Stop(_ context.Context, incarnation workload.WorkerID, run workload.RunID, token uint64) (workerctl.Clock, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.dead || !m.fence(w, o) {
-		return
+	if err := m.admit(incarnation, token); err != nil {
+		return m.clock(), err
 	}
-	m.highest[o.Task] = max(m.highest[o.Task], o.Run)
-	if x := m.runs[runKey(o.Task, o.Run)]; x != nil && !x.stopping {
+	m.highest[run.Task] = max(m.highest[run.Task], run.Run)
+	if x := m.runs[run]; x != nil && !x.stopping {
 		x.stopping = true
 		time.AfterFunc(stopTime, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			if m.runs[runKey(o.Task, o.Run)] == x {
-				m.end(x, "stopped")
+			if m.runs[run] == x {
+				m.end(x, workload.EndStopped)
 			}
 		})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"clock-ms": m.clock()})
+	return m.clock(), nil
 }
 
-func (m *minion) pace(w http.ResponseWriter, _ *http.Request, o order) {
+// Pace implements workerctl.Control.
+func (m *minion) Pace(_ context.Context, incarnation workload.WorkerID, _ workload.RunID, _ int, token uint64) (workerctl.Clock, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.dead && m.fence(w, o) {
-		writeJSON(w, http.StatusOK, map[string]any{"clock-ms": m.clock()})
-	}
+	return m.clock(), m.admit(incarnation, token)
 }
 
-func (m *minion) hold(w http.ResponseWriter, r *http.Request, o order) {
+// Hold implements workerctl.Control.
+func (m *minion) Hold(ctx context.Context, incarnation workload.WorkerID, o workerctl.HoldOrder) (workerctl.Listing, error) {
 	m.mu.Lock()
-	if m.dead || !m.fence(w, o) {
+	if err := m.admit(incarnation, o.Token); err != nil {
 		m.mu.Unlock()
-		return
+		return workerctl.Listing{}, err
 	}
-	if o.Deadline > 0 {
-		m.extend(o.Deadline)
+	if o.Lease > 0 {
+		m.extend(o.Lease)
 	}
 	m.acknowledge(o.Seen)
-	wait, changed := o.WaitMs > 0 && len(m.ended) == 0, m.changed
+	wait, changed := o.Wait > 0 && len(m.ended) == 0, m.changed
 	m.mu.Unlock()
 	if wait {
 		select {
 		case <-changed:
-		case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
-		case <-r.Context().Done():
-			return
+		case <-time.After(o.Wait):
+		case <-ctx.Done():
+			return workerctl.Listing{}, workerctl.ErrUnknown
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	running := [][]any{}
+	if m.dead {
+		return workerctl.Listing{}, workerctl.ErrUnknown
+	}
+	l := workerctl.Listing{Now: m.clock()}
 	for _, x := range m.runs {
-		running = append(running, []any{x.task, x.run, "", x.percent(), 0})
+		l.Running = append(l.Running, workerctl.RunStatus{Run: x.id, Progress: x.percent()})
 	}
-	ended := append([]endRow{}, m.ended[:min(len(m.ended), listedEnds)]...)
-	writeJSON(w, http.StatusOK, map[string]any{"clock-ms": m.clock(), "running": running, "ended": ended})
+	l.Ended = append(l.Ended, m.ended[:min(len(m.ended), listedEnds)]...)
+	return l, nil
 }
 
 // acknowledge forgets the ends up to seen. The caller holds mu.
-func (m *minion) acknowledge(seen int) {
+func (m *minion) acknowledge(seen uint64) {
 	n := 0
-	for n < len(m.ended) && m.ended[n].number <= seen {
+	for n < len(m.ended) && m.ended[n].Number <= seen {
 		m.host.rec.noted(m, m.ended[n])
 		n++
 	}
 	m.ended = m.ended[n:]
-	m.seen = max(m.seen, seen)
+}
+
+// percent of the work that is done. A task that lasts is at work after a short
+// startup.
+func (x *taskRun) percent() int {
+	switch {
+	case !x.lasts:
+		return min(99, int(100*time.Since(x.began)/x.work))
+	case time.Since(x.began) < startup:
+		return 50
+	}
+	return 100
 }
 
 // running returns the number of runs.
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"persimmonrock.example/structs/workload"
 )
 
 // record writes what was sent, answered and run, and keeps what the rules need.
@@ -22,13 +24,13 @@
 
 // runRecord is one run of a task, as its minion saw it.
 type runRecord struct {
-	minion  string
+	minion  workload.WorkerID
 	life    *minion
 	run     int
 	started time.Time
 	ended   time.Time
 	how     string
-	number  int
+	number  uint64
 	noted   time.Time
 	// lapsed: the minion's lease lapsed after the end and before it was noted.
 	lapsed bool
@@ -65,41 +67,42 @@
 	r.add(format, args...)
 }
 
-func (r *record) started(m *minion, o order) {
+func (r *record) started(m *minion, id workload.RunID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[o.Task] = append(r.runs[o.Task], &runRecord{minion: m.id, life: m, run: o.Run, started: time.Now()})
-	r.line("run %s starts on %s", runKey(o.Task, o.Run), m.id)
+	task := id.Task.String()
+	r.runs[task] = append(r.runs[task], &runRecord{minion: m.info.ID, life: m, run: id.Run, started: time.Now()})
+	r.line("run %s starts on %s", id, m.info.ID)
 }
 
-func (r *record) find(m *minion, task string, run int) *runRecord {
-	for _, x := range r.runs[task] {
-		if x.life == m && x.run == run {
+func (r *record) find(m *minion, id workload.RunID) *runRecord {
+	for _, x := range r.runs[id.Task.String()] {
+		if x.life == m && x.run == id.Run {
 			return x
 		}
 	}
 	return &runRecord{}
 }
 
-func (r *record) ended(m *minion, e endRow) {
+func (r *record) ended(m *minion, e workload.End) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x := r.find(m, e.task, e.run)
-	x.ended, x.how, x.number = time.Now(), e.how, e.number
-	r.line("run %s ends on %s: %s, end %d", runKey(e.task, e.run), m.id, e.how, e.number)
+	x := r.find(m, e.Run)
+	x.ended, x.how, x.number = time.Now(), string(e.Kind), e.Number
+	r.line("run %s ends on %s: %s, end %d", e.Run, m.info.ID, e.Kind, e.Number)
 }
 
-func (r *record) noted(m *minion, e endRow) {
+func (r *record) noted(m *minion, e workload.End) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.find(m, e.task, e.run).noted = time.Now()
-	r.line("end %d on %s (%s) is taken note of", e.number, m.id, runKey(e.task, e.run))
+	r.find(m, e.Run).noted = time.Now()
+	r.line("end %d on %s (%s) is taken note of", e.Number, m.info.ID, e.Run)
 }
 
-func (r *record) lapsed(m *minion, last int) {
+func (r *record) lapsed(m *minion, last uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.line("lease of %s lapses", m.id)
+	r.line("lease of %s lapses", m.info.ID)
 	for _, list := range r.runs {
 		for _, x := range list {
 			if x.life == m && !x.ended.IsZero() && x.noted.IsZero() && x.number <= last {
@@ -109,18 +112,17 @@
 	}
 }
 
-func (r *record) crashed(m *minion, lost []string) {
+func (r *record) crashed(m *minion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, list := range r.runs {
+	for task, list := range r.runs {
 		for _, x := range list {
 			if x.life == m && x.ended.IsZero() {
 				x.ended, x.how = time.Now(), "crashed"
+				r.line("run %s#%d is lost with %s", task, x.run, m.info.ID)
 			}
 		}
 	}
-	sort.Strings(lost)
-	r.line("lost with %s: %s", m.id, strings.Join(lost, " "))
 }
 
 // twice lists the breaches of TWICE: two runs of a task at the same time, or a
--- a/review/standin/wide.go
+++ b/review/standin/wide.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"persimmonrock.example/structs/workload"
 )
 
 const (
@@ -17,6 +19,8 @@
 // of the store, which is then not far from row-bytes.
 const wideTasks = 2870
 
+const ordinaryPayload = "work-ms=1000"
+
 // wideJob: a minion crashes while a job with many small tasks begins.
 func wideJob(rec *record, trouble bool) ([]string, error) {
 	d, err := deploy(rec, 2, 8)
@@ -26,12 +30,12 @@
 	if err != nil {
 		return nil, err
 	}
-	ordinary := job{Spec: "work-ms=1000", Steps: []step{{Count: 6, CPU: 960, MemMB: 1900, EstimateMs: 1000}}}
-	first, ok := d.submit(0, ordinary)
+	ordinary := workload.Step{Count: 6, Need: workload.Resources{CPU: 960, Memory: 1900}, Estimate: time.Second}
+	first, ok := d.submit(0, ordinaryPayload, ordinary)
 	if !ok || d.awaitStates([]string{first}, 10*time.Second)[first] != "completed" {
 		return nil, fmt.Errorf("an ordinary job is not completed")
 	}
-	wide, ok := d.submit(1, job{Spec: "work-ms=60000", Steps: []step{{Count: wideTasks, CPU: 20, MemMB: 50, EstimateMs: 60000}}})
+	wide, ok := d.submit(1, "work-ms=60000", workload.Step{Count: wideTasks, Need: workload.Resources{CPU: 20, Memory: 50}, Estimate: time.Minute})
 	if !ok {
 		return nil, fmt.Errorf("the wide job was not accepted")
 	}
@@ -39,7 +43,7 @@
 	for end := time.Now().Add(8 * time.Second); rec.counts(wide + ".")["running"] < wideTasks && time.Now().Before(end); {
 		time.Sleep(20 * time.Millisecond)
 	}
-	rec.say("%d of its tasks run; the largest row has %d bytes", rec.counts(wide + ".")["running"], d.store.largestRow())
+	rec.say("%d of its tasks run; the largest row has %d bytes", rec.counts(wide + ".")["running"], d.store.largestValue())
 	if trouble {
 		h := d.hosts[0]
 		rec.say("minion %s is down for %v", h.crash(), crashed)
@@ -48,7 +52,7 @@
 	time.Sleep(crashed + time.Second)
 	var ids []string
 	for n := range 20 {
-		if id, ok := d.submit(n, ordinary); ok {
+		if id, ok := d.submit(n, ordinaryPayload, ordinary); ok {
 			ids = append(ids, id)
 		}
 		time.Sleep(250 * time.Millisecond)
@@ -59,11 +63,11 @@
 	time.Sleep(idleTime)
 	states := d.awaitStates(ids, 0)
 	used := d.usedCPU(rec)
-	rec.say("the large job has %d tasks running; the largest row has %d bytes", rec.counts(wide + ".")["running"], d.store.largestRow())
-	rec.say("states: %v; %d of %d thousandths of a core in use", tally(states), used, len(d.hosts)*64000)
+	rec.say("the large job has %d tasks running; the largest row has %d bytes", rec.counts(wide + ".")["running"], d.store.largestValue())
+	rec.say("states: %v; %d of %d thousandths of a core in use", tally(states), used, len(d.hosts)*hostCPU)
 	var found []string
 	for _, id := range ids {
-		if states[id] == "completed" || 2*used >= len(d.hosts)*64000 || rec.ranSince(id+".", from) {
+		if states[id] == "completed" || 2*used >= len(d.hosts)*hostCPU || rec.ranSince(id+".", from) {
 			continue
 		}
 		found = append(found, fmt.Sprintf("LOST: job %s is %s and has had nothing running from %.1f s to %.1f s after the end of the traffic, beside free capacity",
