Clients' connections are bounded, and those without progress yield

What callers saw: clients that connect and stay silent used all descriptors of an entry up. accept4 failed each second, and no ordinary client got an answer for as long as they stayed.

Cause: the server for clients had no limit on connections, no idle timeout and no time for sending a response.

Change: decide/connbudget keeps an account of all connections, and decides who yields when connections or memory run out: the oldest incomplete request or response after a second, then the longest idle connection, then the oldest request; a request that has arrived whole never yields. ops/connlimit connects it to net/http. Kernel buffers of clients' connections are 16 KiB, as received bytes are memory of the process.

Why it holds: a silent connection is always older than the one of a client that sends its request at once. Clients that pipeline without end get two responses on a connection while connections are scarce.

--- a/cmd/machine/common.go
+++ b/cmd/machine/common.go
@@ -49,8 +49,6 @@
 	// process's limit; the rest is for stacks and for memory that the kernel
 	// counts.
 	memoryShare = 0.75
-	// headerTimeout bounds the reading of a call's header.
-	headerTimeout = 5 * time.Second
 )
 
 // Configured reports whether the machine passes settings to the process.
@@ -108,19 +106,28 @@
 	return nil
 }
 
-// serveHTTP serves h at address until the returned server is shut down.
+// serveHTTP serves h at address until the returned server is shut down. It is for
+// callers of the platform, which are few.
 func (p *program) serveHTTP(address string, h http.Handler) (*http.Server, error) {
 	l, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: defaultLimits.ReadHeader.Std(), MaxHeaderBytes: defaultLimits.HeaderBytes,
+		ReadTimeout: defaultLimits.ReadHeader.Std() + defaultLimits.ReadBody.Std(), IdleTimeout: defaultLimits.Idle.Std(),
+	}
+	p.serve(s, l)
+	return s, nil
+}
+
+// serve serves s at l until s is shut down.
+func (p *program) serve(s *http.Server, l net.Listener) {
 	go func() {
 		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-			p.log.Error().Err(err).Str("address", address).Msg("http server failed")
+			p.log.Error().Err(err).Stringer("address", l.Addr()).Msg("http server failed")
 		}
 	}()
-	return s, nil
 }
 
 // metricsPort is the port at which each process serves its counters; the deploy
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -93,7 +93,8 @@
 	if err := p.servePeers(server); err != nil {
 		return err
 	}
-	clients, err := p.serveHTTP(p.settings.ClientListen, front.Handler(service))
+	pool := p.newClients(service.Limits)
+	clients, err := p.serveClients(ctx, pool, front.Handler(service))
 	if err != nil {
 		return err
 	}
@@ -101,6 +102,7 @@
 		return err
 	}
 	p.serveMetrics(map[string]func() any{
+		"clients":      func() any { return pool.Figures() },
 		"intake":       func() any { return service.Counters.Figures() },
 		"queue_config": func() any { return config.Figures() },
 		"watch":        func() any { return operatorRows.Counters.Figures() },
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -123,7 +123,15 @@
 	if !ok {
 		return workload.Queue{}, "", 0, workload.ErrNoQueue
 	}
-	return q, rest, c.MaxBody, nil
+	return q, rest, c.Limits.BodyBytes, nil
+}
+
+// Limits returns the configured limits on one client's call.
+func (s *Service) Limits() workload.Limits {
+	if c := s.config.Current(); c != nil {
+		return c.Limits
+	}
+	return workload.Limits{}
 }
 
 // Submit stores j and returns nil once the store has it. All submissions of one
--- /dev/null
+++ b/ops/connlimit/conn.go
@@ -0,0 +1,107 @@
+package connlimit
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+
+	"persimmonrock.example/decide/connbudget"
+)
+
+// conn is a client's connection. It keeps its account by what passes through it.
+type conn struct {
+	net.Conn
+	pool    *Pool
+	account *connbudget.Conn
+	once    sync.Once
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received()
+	}
+	return n, err
+}
+
+func (c *conn) received() {
+	p := c.pool
+	p.mu.Lock()
+	if c.account.State() == connbudget.Idle {
+		now := p.now()
+		p.budget.Receive(c.account, now, now+p.timeouts().Header)
+	}
+	p.mu.Unlock()
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(b []byte) (int, error) {
+	p := c.pool
+	p.mu.Lock()
+	now := p.now()
+	p.budget.Send(c.account, now, now+p.timeouts().Send)
+	p.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// CloseWrite closes the sending side, so that a client receives a last response
+// although it still sends.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and its account.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.pool.mu.Lock()
+		c.pool.budget.Close(c.account)
+		c.pool.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// beginBody records that the header has arrived, and with it the whole request if
+// it has no body. It reports whether the connection is to be closed after the
+// response.
+func (c *conn) beginBody(whole bool) (last bool) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	// The header of a request may have arrived together with the one before.
+	p.budget.Receive(c.account, now, 0)
+	last = p.budget.Last(c.account)
+	if whole {
+		p.budget.Serve(c.account, now)
+		return last
+	}
+	p.budget.Extend(c.account, now+p.timeouts().Body)
+	return last
+}
+
+// rest records that the connection waits for the next request.
+func (c *conn) rest() {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.budget.Rest(c.account, now, now+p.timeouts().Idle)
+}
+
+// SetBuffers is a net.ListenConfig.Control that bounds what the kernel receives
+// for a connection before the process reads it, and what it keeps for a client
+// that doesn't read.
+func SetBuffers(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+			failed = errors.Join(failed, syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, socketBuffer))
+		}
+	})
+	return errors.Join(err, failed)
+}
--- /dev/null
+++ b/ops/connlimit/connlimit_test.go
@@ -0,0 +1,193 @@
+package connlimit
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipes is a listener whose connections are pipes.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	close(p.done)
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial() net.Conn {
+	client, server := net.Pipe()
+	p.conns <- server
+	return client
+}
+
+const (
+	maxBody = 64 << 10
+)
+
+var timeouts = Timeouts{Header: 3 * time.Second, Idle: 15 * time.Second, Body: 10 * time.Second, Send: 10 * time.Second}
+
+// bench is a server with a pool, in fake time. Its handler responds with the size
+// of the body.
+type bench struct {
+	t       *testing.T
+	pool    *Pool
+	pipes   *pipes
+	release chan struct{}
+}
+
+func run(t *testing.T, l Limits, test func(*testing.T, *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{t: t, pool: New(l, func() Timeouts { return timeouts }), pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, release: make(chan struct{})}
+		s := &http.Server{Handler: http.HandlerFunc(b.serve)}
+		b.pool.Configure(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		go b.pool.Run(ctx)
+		go s.Serve(b.pool.Listen(b.pipes))
+		test(t, b)
+		cancel()
+		_ = s.Close()
+		synctest.Wait()
+		if f := b.pool.Figures(); f["open"] != 0 || f["held_bytes"] != int64(0) {
+			t.Errorf("after the last connection: %v", f)
+		}
+	})
+}
+
+func (b *bench) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/wait" {
+		<-b.release
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	fmt.Fprint(w, len(body))
+}
+
+func head(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, length)
+}
+
+// write sends text without waiting for the server to read it.
+func (b *bench) write(c net.Conn, text string) {
+	go func() { _, _ = io.WriteString(c, text) }() // fails if the server closes the connection
+	synctest.Wait()
+}
+
+// status returns the status of the next response, 0 if the connection is closed.
+func status(c net.Conn) int {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func (b *bench) expect(c net.Conn, want int) {
+	b.t.Helper()
+	if got := status(c); got != want {
+		b.t.Errorf("status %d, want %d (0 is a closed connection)", got, want)
+	}
+}
+
+var roomy = Limits{Connections: 10, Memory: 10 << 20}
+
+// Guards against requests that keep their memory after their response.
+func TestMemoryIsReturnedAfterTheResponse(t *testing.T) {
+	run(t, roomy, func(t *testing.T, b *bench) {
+		c := b.pipes.dial()
+		for range 3 {
+			b.write(c, head("/", maxBody)+strings.Repeat("x", maxBody))
+			b.expect(c, http.StatusOK)
+			synctest.Wait()
+			if held := b.pool.Figures()["held_bytes"]; held != int64(ConnectionBytes) {
+				t.Errorf("%v bytes held, want those of the connection, %d", held, ConnectionBytes)
+			}
+		}
+	})
+}
+
+// Guards against headers and pauses that never end.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		after      time.Duration
+	}{{"without a byte", "", timeouts.Idle}, {"in the header", "GET / HT", timeouts.Header}} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, roomy, func(t *testing.T, b *bench) {
+				conn, begun := b.pipes.dial(), time.Now()
+				b.write(conn, c.text)
+				b.expect(conn, 0)
+				if took := time.Since(begun); took < c.after || took > c.after+2*sweepInterval {
+					t.Errorf("closed after %v, want %v", took, c.after)
+				}
+			})
+		})
+	}
+}
+
+// Guards against newcomers that end requests which are served, and against
+// newcomers that wait for nothing.
+func TestNewcomerIsClosedIfAllAreServed(t *testing.T) {
+	run(t, Limits{Connections: 2, Memory: 10 << 20}, func(t *testing.T, b *bench) {
+		served := []net.Conn{b.pipes.dial(), b.pipes.dial()}
+		for _, c := range served {
+			b.write(c, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+		b.expect(b.pipes.dial(), 0)
+		close(b.release)
+		for _, c := range served {
+			b.expect(c, http.StatusOK)
+		}
+		newcomer := b.pipes.dial()
+		b.write(newcomer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		b.expect(newcomer, http.StatusOK)
+	})
+}
+
+// Guards against clients whose next request always follows at once and so never
+// yield.
+func TestBusyConnectionsEndWhenConnectionsAreScarce(t *testing.T) {
+	run(t, Limits{Connections: 1, Memory: 10 << 20}, func(t *testing.T, b *bench) {
+		c := b.pipes.dial()
+		const call = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		b.write(c, call+call+call)
+		in := bufio.NewReader(c)
+		for n := range 2 {
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatalf("response %d: %v", n, err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			if resp.Close != (n == 1) {
+				t.Errorf("response %d closes the connection: %t", n, resp.Close)
+			}
+		}
+		if _, err := in.ReadByte(); err == nil {
+			t.Error("the connection is open after its last response")
+		}
+	})
+}
--- /dev/null
+++ b/ops/connlimit/pool.go
@@ -0,0 +1,212 @@
+// Package connlimit bounds the memory and the descriptors that an HTTP server's
+// clients use together. Package decide/connbudget decides which connections
+// yield when either is short; this package keeps the accounts of real
+// connections and closes those that yield or take too long.
+package connlimit
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"persimmonrock.example/decide/connbudget"
+)
+
+const (
+	// ConnectionBytes is the memory of an open connection without a request: its
+	// goroutine's stack, the buffers of net/http, and what the kernel has received
+	// for it.
+	ConnectionBytes = 32 << 10
+	// socketBuffer is the size in bytes of each of a connection's buffers in the
+	// kernel. The bytes that it holds are memory of the process.
+	socketBuffer = 16 << 10
+	// patience is the time after which an incomplete request counts as slow. It
+	// matters only if memory or descriptors are short.
+	patience = time.Second
+	// sweepInterval is the time between two looks for connections whose time is
+	// over.
+	sweepInterval = 250 * time.Millisecond
+)
+
+// Timeouts are the limits on one client that may change while the server runs.
+type Timeouts struct {
+	// Header is the time from the first byte of a request to the end of its
+	// header, Idle the time without a request.
+	Header, Idle time.Duration
+	// Body bounds the time from the header to the end of the body, Send the time
+	// from the first byte of a response until it is sent.
+	Body, Send time.Duration
+}
+
+// Limits bounds what all clients use together.
+type Limits struct {
+	// Connections is the number of open connections.
+	Connections int
+	// Memory is the memory in bytes that connections and requests hold.
+	Memory int64
+}
+
+// Counters count the connections that were closed before their clients did so.
+type Counters struct {
+	// Refused were closed at once since no other could yield, Yielded made room
+	// for others, Expired took too long.
+	Refused, Yielded, Expired uint64
+}
+
+// Pool holds the connections of a server's clients.
+type Pool struct {
+	limits   Limits
+	timeouts func() Timeouts
+	begun    time.Time
+
+	mu       sync.Mutex
+	budget   *connbudget.Budget
+	counters Counters
+}
+
+// New returns a pool. It asks timeouts for the current limits on one client.
+func New(l Limits, timeouts func() Timeouts) *Pool {
+	return &Pool{limits: l, timeouts: timeouts, begun: time.Now(), budget: connbudget.New(connbudget.Limits{
+		Connections: l.Connections, Memory: l.Memory, PerConnection: ConnectionBytes, Patience: patience,
+	})}
+}
+
+// Figures returns the pool's state and counters for display.
+func (p *Pool) Figures() map[string]any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return map[string]any{
+		"open": p.budget.Open(), "held_bytes": p.budget.Held(), "refused": p.counters.Refused, "yielded": p.counters.Yielded,
+		"expired": p.counters.Expired,
+	}
+}
+
+// Counters returns the counters.
+func (p *Pool) Counters() Counters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters
+}
+
+// Configure makes s report its connections to the pool. The listener of s must
+// come from Listen.
+func (p *Pool) Configure(s *http.Server) {
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if conn := accounted(c); conn != nil && state == http.StateIdle {
+			conn.rest()
+		}
+	}
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, accounted(c))
+	}
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn := connOf(r); conn != nil && conn.beginBody(r.Body == http.NoBody) {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// connOf returns the connection of a request, or nil if it is not in a pool.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
+// accounted returns the pool's connection below c, or nil.
+func accounted(c net.Conn) *conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	conn, _ := c.(*conn)
+	return conn
+}
+
+// Run closes connections whose time is over until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.sweep()
+		}
+	}
+}
+
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	expired := p.budget.Expired(p.now())
+	p.counters.Expired += uint64(len(expired))
+	p.mu.Unlock()
+	closeAll(expired)
+}
+
+func (p *Pool) now() time.Duration { return time.Since(p.begun) }
+
+// listener accepts connections within the pool's limits.
+type listener struct {
+	net.Listener
+	pool *Pool
+	once sync.Once
+}
+
+// Listen returns a listener whose connections belong to the pool.
+func (p *Pool) Listen(l net.Listener) net.Listener { return &listener{Listener: l, pool: p} }
+
+// Close closes the listener once; later calls return nil. A planned stop closes
+// the listener before http.Server.Shutdown does, which would report the error
+// of a second close.
+func (l *listener) Close() error {
+	var err error
+	l.once.Do(func() { err = l.Listener.Close() })
+	return err
+}
+
+// Accept returns the next connection. If there is no room for it, others are
+// closed; if none can yield, it is closed at once instead of waiting in the
+// kernel's queue, so that a load balancer tries another process.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.pool.admit(inner); c != nil {
+			return c, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+func (p *Pool) admit(inner net.Conn) *conn {
+	c := &conn{Conn: inner, pool: p}
+	p.mu.Lock()
+	now := p.now()
+	account, yield, ok := p.budget.Accept(c, now, now+p.timeouts().Idle)
+	p.counters.Yielded += uint64(len(yield))
+	if !ok {
+		p.counters.Refused++
+	}
+	c.account = account
+	p.mu.Unlock()
+	closeAll(yield)
+	if !ok {
+		return nil
+	}
+	return c
+}
+
+func closeAll(accounts []*connbudget.Conn) {
+	for _, a := range accounts {
+		_ = a.Owner.(*conn).Conn.Close() // its server notices by the next read or write
+	}
+}
--- a/structs/workload/check.go
+++ b/structs/workload/check.go
@@ -7,7 +7,8 @@
 const (
 	// MaxPayload is the documented limit of a payload, in bytes.
 	MaxPayload = 4000
-	maxSteps   = 200
+	// MaxSteps bounds the steps of a job.
+	MaxSteps = 200
 	// MaxTasks bounds the tasks of one occurrence.
 	MaxTasks  = 5000
 	maxRepeat = 100000
@@ -39,8 +40,8 @@
 	if len(j.Payload) > MaxPayload {
 		return &InvalidError{fmt.Sprintf("payload of %d bytes, more than %d", len(j.Payload), MaxPayload)}
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return &InvalidError{fmt.Sprintf("%d steps, not 1 to %d", len(j.Steps), maxSteps)}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return &InvalidError{fmt.Sprintf("%d steps, not 1 to %d", len(j.Steps), MaxSteps)}
 	}
 	if j.Repeat.Count < 0 || j.Repeat.Count > maxRepeat || j.Repeat.Interval < 0 {
 		return &InvalidError{fmt.Sprintf("%d repeats every %d ms", j.Repeat.Count, j.Repeat.Interval)}
--- a/structs/workload/config.go
+++ b/structs/workload/config.go
@@ -42,8 +42,17 @@
 	Version  uint64
 	Queues   []Queue
 	Services []Service
-	// MaxBody bounds the body of a client's call, in bytes; 0 is no bound.
-	MaxBody int64
+	Limits   Limits
+}
+
+// Limits are the limits on one client's call. A limit of 0 is not set.
+type Limits struct {
+	// HeaderBytes and BodyBytes are sizes in bytes.
+	HeaderBytes int
+	BodyBytes   int64
+	// Header is the time in which a client must send a header, Idle the time
+	// after which a connection without a call is closed.
+	Header, Idle time.Duration
 }
 
 // Find returns the queue of a call and the rest of the call's path. The queue
