Crowds at a machine whose memory is used up before its descriptors

With the bound on connections, the crowds of bodies stay under 96 MB with at most 95, since the machine of those tests has descriptors for 200 clients only. The users' machines have 1,950 for 284 MB. This adds six cases with 1,200 clients at a machine of 96 MB and 4,100 descriptors, each request within the limits but for its end; the earlier crowds and bounds stay as they are.

--- a/sessions/crowd/crowd_test.go
+++ b/sessions/crowd/crowd_test.go
@@ -25,6 +25,9 @@
 	// silentSize is the number of clients that only stay connected, above the
 	// descriptors of a machine.
 	silentSize = 700
+	// manySize is the number of clients whose requests are within the limits, at a
+	// machine with descriptors to spare.
+	manySize = 1200
 	// costlySize is the number of clients whose bodies cost much once decoded.
 	costlySize = 60
 	// attempts is the number of connections that a client opens one after
@@ -189,7 +192,11 @@
 // checkCrowd plays a crowd at one entry and checks the entry beside and after it.
 func checkCrowd(t *testing.T, size int, next func(e *entry, client int) request) {
 	t.Helper()
-	e := startEntries(t, 1)[0]
+	checkCrowdAt(startEntries(t, 1, maxDescriptors)[0], size, next)
+}
+
+func checkCrowdAt(e *entry, size int, next func(e *entry, client int) request) {
+	e.t.Helper()
 	c := play(e, size, func(client int) request { return next(e, client) })
 	e.mustServe("beside the crowd")
 	e.check()
@@ -302,6 +309,28 @@
 	}
 }
 
+// Guards against requests each of which is within the limits, and which together
+// use the memory up long before the descriptors.
+func TestDescriptorsToSpare(t *testing.T) {
+	legal := smallLines(limits.HeaderBytes - 1<<10)
+	oneChunk, byteChunks := chunked(256<<10), chunked(1)
+	for _, c := range []struct {
+		name string
+		next func(e *entry, client int) request
+	}{
+		{"heads", func(e *entry, _ int) request { return request{text: head(e) + legal} }},
+		{"bodies", func(e *entry, client int) request { return submission(e, client, false, plain) }},
+		{"bodies in pieces", func(e *entry, client int) request { return submission(e, client, true, plain) }},
+		{"one chunk", func(e *entry, client int) request { return submission(e, client, false, oneChunk) }},
+		{"chunks of a byte", func(e *entry, client int) request { return submission(e, client, false, byteChunks) }},
+		{"connections", func(e *entry, _ int) request { return request{text: standin.StateCall(e.nextJob()), whole: true} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			checkCrowdAt(startEntries(t, 1, manyDescriptors)[0], manySize, c.next)
+		})
+	}
+}
+
 // Guards against whole bodies of legal size which use the process's memory up
 // once they are decoded.
 func TestCostlyBodies(t *testing.T) {
@@ -344,7 +373,7 @@
 // Guards against crowds that end one entry after another, as clients go on to the
 // next.
 func TestCrowdAtSeveralEntries(t *testing.T) {
-	entries := startEntries(t, 3)
+	entries := startEntries(t, 3, maxDescriptors)
 	var crowds []*crowd
 	for _, e := range entries {
 		crowds = append(crowds, play(e, crowdSize, func(client int) request { return submission(e, client, false, plain) }))
@@ -365,7 +394,7 @@
 
 // Guards against limits that refuse a request within the documented ones.
 func TestLargestRequestIsServedInCalm(t *testing.T) {
-	e := startEntries(t, 1)[0]
+	e := startEntries(t, 1, maxDescriptors)[0]
 	body := standin.PaddedBody(limits.BodyBytes)
 	length, _, _ := plain(body)
 	filler := strings.Repeat("b", limits.HeaderBytes-len(standin.SubmissionHead(e.nextJob(), length+"A: \r\n")))
--- a/sessions/crowd/process_test.go
+++ b/sessions/crowd/process_test.go
@@ -28,10 +28,11 @@
 )
 
 const (
-	// memoryMB and maxDescriptors are the limits of a machine.
-	memoryMB       = 96
-	maxDescriptors = 600
-	maxSockets     = maxDescriptors - standin.FileDescriptors
+	// memoryMB and maxDescriptors are the limits of a small machine, manyDescriptors
+	// those of one with more connections than memory.
+	memoryMB        = 96
+	maxDescriptors  = 600
+	manyDescriptors = 4100
 	// sampleInterval is the time between two samples of a process's usage.
 	sampleInterval = 50 * time.Millisecond
 	// patience bounds each wait of a test for something that must happen.
@@ -85,7 +86,7 @@
 
 // startEntries starts entries with a store of their own and waits until each of
 // them serves an ordinary call.
-func startEntries(t *testing.T, n int) []*entry {
+func startEntries(t *testing.T, n, descriptors int) []*entry {
 	store := memstore.New(1)
 	config, err := standin.ConfigWithLimits(7, queue, limits)
 	if err != nil {
@@ -102,7 +103,7 @@
 		t.Cleanup(server.Close)
 		entries = append(entries, startEntry(t, standin.Machine{
 			Node: name, IP: fmt.Sprintf("%s.%d", network, 1+i), Port: firstPort, Cores: 0.4,
-			MemoryMB: memoryMB, MaxDescriptors: maxDescriptors, Store: strings.TrimPrefix(server.URL, "http://"),
+			MemoryMB: memoryMB, MaxDescriptors: descriptors, Store: strings.TrimPrefix(server.URL, "http://"),
 		}))
 	}
 	for _, e := range entries {
@@ -129,7 +130,7 @@
 		t.Fatal(err)
 	}
 	// The machine's limit on descriptors holds for the process, too.
-	limit := &unix.Rlimit{Cur: maxDescriptors, Max: maxDescriptors}
+	limit := &unix.Rlimit{Cur: uint64(m.MaxDescriptors), Max: uint64(m.MaxDescriptors)}
 	if err := unix.Prlimit(e.cmd.Process.Pid, unix.RLIMIT_NOFILE, limit, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -240,8 +241,8 @@
 	if e.memory > memoryMB<<20 {
 		e.t.Errorf("%s used %d MB of memory, more than the %d MB of its machine", e.Node, e.memory>>20, memoryMB)
 	}
-	if e.sockets > maxSockets {
-		e.t.Errorf("%s had %d sockets open, more than the %d of its machine", e.Node, e.sockets, maxSockets)
+	if limit := e.MaxDescriptors - standin.FileDescriptors; e.sockets > limit {
+		e.t.Errorf("%s had %d sockets open, more than the %d of its machine", e.Node, e.sockets, limit)
 	}
 }
 
