Headers of clients' requests are bounded, one by one and together

What callers saw: clients that send headers over the limit, or without end, made an entry hold up to 1,483 MB for 500 of them; others got 503 or nothing.

Cause: the server for clients read headers up to net/http's default of 1 MB. A limit on each header would not do: a legal header of short lines takes twelve times its size.

The bytes of a header are counted where they pass the connection, before they are parsed, twelvefold, and taken from the budget of all clients.

Why it holds: a header never has more memory than the budget says, and the oldest incomplete ones yield.

--- a/cmd/machine/clients.go
+++ b/cmd/machine/clients.go
@@ -46,8 +46,8 @@
 // clientTimeouts returns the limits on one client under a configuration.
 func clientTimeouts(l workload.Limits) connlimit.Timeouts {
 	return connlimit.Timeouts{
-		Header: cmp.Or(l.Header, defaultLimits.ReadHeader.Std()),
-		Idle:   cmp.Or(l.Idle, defaultLimits.Idle.Std()), Body: defaultLimits.ReadBody.Std(), Send: defaultLimits.Write.Std(),
+		HeaderBytes: cmp.Or(l.HeaderBytes, defaultLimits.HeaderBytes), Header: cmp.Or(l.Header, defaultLimits.ReadHeader.Std()),
+		Idle: cmp.Or(l.Idle, defaultLimits.Idle.Std()), Body: defaultLimits.ReadBody.Std(), Send: defaultLimits.Write.Std(),
 	}
 }
 
--- a/ops/connlimit/conn.go
+++ b/ops/connlimit/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -15,25 +16,71 @@
 	pool    *Pool
 	account *connbudget.Conn
 	once    sync.Once
+	// The fields below are guarded by pool.mu.
+
+	// handshake says that the first request comes after a TLS handshake.
+	handshake bool
+	// inBody says that the request's header has arrived.
+	inBody bool
+	// headerBytes counts the bytes of the header that arrives.
+	headerBytes int
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The bytes of a header are accounted before they are
+// parsed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received()
+		if accountErr := c.received(n); accountErr != nil {
+			return 0, accountErr
+		}
 	}
 	return n, err
 }
 
-func (c *conn) received() {
+func (c *conn) received(n int) error {
 	p := c.pool
 	p.mu.Lock()
 	if c.account.State() == connbudget.Idle {
 		now := p.now()
 		p.budget.Receive(c.account, now, now+p.timeouts().Header)
+		c.inBody, c.headerBytes = false, 0
+	}
+	if c.inBody || c.account.State() != connbudget.Receiving {
+		p.mu.Unlock()
+		return nil
+	}
+	c.headerBytes += n
+	limit := p.timeouts().HeaderBytes + readAhead
+	if c.handshake {
+		limit += handshakeBytes
+	}
+	large := c.headerBytes > limit
+	if large {
+		p.counters.HeadersTooLarge++
 	}
 	p.mu.Unlock()
+	switch {
+	case large:
+		c.refuseHeader()
+		return readError(errHeaderTooLarge)
+	case !p.take(c, int64(n)*headerCost):
+		return readError(errNoMemory)
+	}
+	return nil
+}
+
+// readError returns an error for which net/http closes the connection without a
+// response. To others it responds with 400, which a client takes for its own
+// fault.
+func readError(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
+
+// refuseHeader responds to a header above the limit.
+func (c *conn) refuseHeader() {
+	if c.pool.limits.TLS {
+		return // the response would have to be encrypted
+	}
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
 // Write implements io.Writer.
@@ -75,6 +122,7 @@
 	now := p.now()
 	// The header of a request may have arrived together with the one before.
 	p.budget.Receive(c.account, now, 0)
+	c.inBody, c.handshake = true, false
 	last = p.budget.Last(c.account)
 	if whole {
 		p.budget.Serve(c.account, now)
--- a/ops/connlimit/connlimit_test.go
+++ b/ops/connlimit/connlimit_test.go
@@ -45,7 +45,7 @@
 	maxBody = 64 << 10
 )
 
-var timeouts = Timeouts{Header: 3 * time.Second, Idle: 15 * time.Second, Body: 10 * time.Second, Send: 10 * time.Second}
+var timeouts = Timeouts{HeaderBytes: 8 << 10, Header: 3 * time.Second, Idle: 15 * time.Second, Body: 10 * time.Second, Send: 10 * time.Second}
 
 // bench is a server with a pool, in fake time. Its handler responds with the size
 // of the body.
@@ -130,6 +130,22 @@
 	})
 }
 
+// Guards against headers above the limit that the server goes on to read.
+func TestHeaderAboveTheLimitIsRefused(t *testing.T) {
+	run(t, roomy, func(t *testing.T, b *bench) {
+		c := b.pipes.dial()
+		b.write(c, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", 2*timeouts.HeaderBytes))
+		b.expect(c, http.StatusRequestHeaderFieldsTooLarge)
+		b.expect(c, 0)
+		if n := b.pool.Counters().HeadersTooLarge; n != 1 {
+			t.Errorf("%d headers counted as too large", n)
+		}
+		within := b.pipes.dial()
+		b.write(within, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", timeouts.HeaderBytes-100)+"\r\n\r\n")
+		b.expect(within, http.StatusOK)
+	})
+}
+
 // Guards against headers and pauses that never end.
 func TestSilentConnectionsAreClosed(t *testing.T) {
 	for _, c := range []struct {
--- a/ops/connlimit/pool.go
+++ b/ops/connlimit/pool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,14 @@
 	// goroutine's stack, the buffers of net/http, and what the kernel has received
 	// for it.
 	ConnectionBytes = 32 << 10
+	// headerCost is the memory in bytes of a header byte once it is parsed, if all
+	// header lines are as short as possible.
+	headerCost = 12
+	// readAhead is the number of bytes after the header that net/http may read
+	// with it.
+	readAhead = 4 << 10
+	// handshakeBytes bounds what a client sends in a TLS handshake.
+	handshakeBytes = 64 << 10
 	// socketBuffer is the size in bytes of each of a connection's buffers in the
 	// kernel. The bytes that it holds are memory of the process.
 	socketBuffer = 16 << 10
@@ -33,6 +42,8 @@
 
 // Timeouts are the limits on one client that may change while the server runs.
 type Timeouts struct {
+	// HeaderBytes is the maximum size of a header.
+	HeaderBytes int
 	// Header is the time from the first byte of a request to the end of its
 	// header, Idle the time without a request.
 	Header, Idle time.Duration
@@ -47,13 +58,15 @@
 	Connections int
 	// Memory is the memory in bytes that connections and requests hold.
 	Memory int64
+	// TLS says that connections begin with a handshake.
+	TLS bool
 }
 
 // Counters count the connections that were closed before their clients did so.
 type Counters struct {
 	// Refused were closed at once since no other could yield, Yielded made room
-	// for others, Expired took too long.
-	Refused, Yielded, Expired uint64
+	// for others, Expired took too long, HeadersTooLarge exceeded the limit.
+	Refused, Yielded, Expired, HeadersTooLarge uint64
 }
 
 // Pool holds the connections of a server's clients.
@@ -80,7 +93,7 @@
 	defer p.mu.Unlock()
 	return map[string]any{
 		"open": p.budget.Open(), "held_bytes": p.budget.Held(), "refused": p.counters.Refused, "yielded": p.counters.Yielded,
-		"expired": p.counters.Expired,
+		"expired": p.counters.Expired, "headers_too_large": p.counters.HeadersTooLarge,
 	}
 }
 
@@ -188,7 +201,7 @@
 }
 
 func (p *Pool) admit(inner net.Conn) *conn {
-	c := &conn{Conn: inner, pool: p}
+	c := &conn{Conn: inner, pool: p, handshake: p.limits.TLS}
 	p.mu.Lock()
 	now := p.now()
 	account, yield, ok := p.budget.Accept(c, now, now+p.timeouts().Idle)
@@ -205,8 +218,24 @@
 	return c
 }
 
+// take adds n bytes to what c holds and reports whether it got them.
+func (p *Pool) take(c *conn, n int64) bool {
+	p.mu.Lock()
+	yield, ok := p.budget.Take(c.account, n, p.now())
+	p.counters.Yielded += uint64(len(yield))
+	p.mu.Unlock()
+	closeAll(yield)
+	return ok
+}
+
 func closeAll(accounts []*connbudget.Conn) {
 	for _, a := range accounts {
 		_ = a.Owner.(*conn).Conn.Close() // its server notices by the next read or write
 	}
 }
+
+// errNoMemory says that other requests hold the memory that a request needs.
+var errNoMemory = errors.New("connection closed: the memory for clients' requests is used up")
+
+// errHeaderTooLarge says that a header exceeds the limit.
+var errHeaderTooLarge = errors.New("connection closed: the header is too large")
