Clients' bodies are bounded together, and end with their deadline

What callers saw: bodies of legal size that stop just short of their end were kept for as long as their clients stayed, whole, in pieces or chunked. 1,200 of them held 300 MB and more, and the entry was ended by its machine's limit.

Cause: a body was read whole with io.ReadAll, which holds up to twice its size; the deadline of the call did not end the reading, and the bound was one for each body, none for all.

Change: connlimit.ReadBody reads a body in pieces, takes twice their size from the budget before it reads them, and gives it back with the response. The call's deadline ends the reading, after 15 s at the latest. A client gets 503 with Retry-After if others hold the memory, 408 if it was too slow; its connection then ends half a second later, so that it can read the response although it still sends. In all these cases the job was never accepted.

Why it holds: what stalls yields as the oldest request, a second after its first byte at the latest once memory is short; an ordinary body arrives whole before.

--- a/ops/connlimit/conn.go
+++ b/ops/connlimit/conn.go
@@ -128,10 +128,19 @@
 		p.budget.Serve(c.account, now)
 		return last
 	}
-	p.budget.Extend(c.account, now+p.timeouts().Body)
+	// A body that takes longer is refused by ReadBody; its client has linger to read
+	// the response.
+	p.budget.Extend(c.account, now+p.timeouts().Body+2*linger)
 	return last
 }
 
+// serve records that the request has arrived whole.
+func (c *conn) serve() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.budget.Serve(c.account, c.pool.now())
+}
+
 // rest records that the connection waits for the next request.
 func (c *conn) rest() {
 	p := c.pool
--- a/ops/connlimit/connlimit_test.go
+++ b/ops/connlimit/connlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,13 +43,14 @@
 }
 
 const (
-	maxBody = 64 << 10
+	maxBody     = 64 << 10
+	bodyTimeout = 5 * time.Second
 )
 
 var timeouts = Timeouts{HeaderBytes: 8 << 10, Header: 3 * time.Second, Idle: 15 * time.Second, Body: 10 * time.Second, Send: 10 * time.Second}
 
 // bench is a server with a pool, in fake time. Its handler responds with the size
-// of the body.
+// of the body, or with the error.
 type bench struct {
 	t       *testing.T
 	pool    *Pool
@@ -78,12 +80,17 @@
 	if r.URL.Path == "/wait" {
 		<-b.release
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	body, err := ReadBody(w, r, maxBody, bodyTimeout)
+	switch {
+	case errors.Is(err, ErrNoMemory):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case errors.Is(err, ErrTimeout):
+		w.WriteHeader(http.StatusRequestTimeout)
+	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
-		return
+	default:
+		fmt.Fprint(w, len(body))
 	}
-	fmt.Fprint(w, len(body))
 }
 
 func head(path string, length int) string {
@@ -146,6 +153,31 @@
 	})
 }
 
+// Guards against a body that stops short and holds its connection for ever.
+func TestBodyThatStopsShortTimesOut(t *testing.T) {
+	for _, length := range []string{"Content-Length: 100", "Transfer-Encoding: chunked"} {
+		run(t, roomy, func(t *testing.T, b *bench) {
+			c, begun := b.pipes.dial(), time.Now()
+			b.write(c, "POST / HTTP/1.1\r\nHost: h\r\n"+length+"\r\n\r\n1\r\n")
+			b.expect(c, http.StatusRequestTimeout)
+			if took := time.Since(begun); took != bodyTimeout {
+				t.Errorf("responded after %v, want %v", took, bodyTimeout)
+			}
+			b.expect(c, 0)
+		})
+	}
+}
+
+// Guards against a body that breaks off and is taken for a whole one.
+func TestBodyThatBreaksOffIsNotWhole(t *testing.T) {
+	run(t, roomy, func(t *testing.T, b *bench) {
+		c := b.pipes.dial()
+		b.write(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nZ\r\n")
+		b.expect(c, http.StatusBadRequest)
+		b.expect(c, 0)
+	})
+}
+
 // Guards against headers and pauses that never end.
 func TestSilentConnectionsAreClosed(t *testing.T) {
 	for _, c := range []struct {
@@ -165,6 +197,32 @@
 	}
 }
 
+// Guards against bodies that stop short and keep the memory from an ordinary
+// request.
+func TestStalledBodyYieldsToAWholeOne(t *testing.T) {
+	run(t, Limits{Connections: 10, Memory: 3*ConnectionBytes + 3*maxBody}, func(t *testing.T, b *bench) {
+		stalled, ordinary := b.pipes.dial(), b.pipes.dial()
+		b.write(stalled, head("/", maxBody)+strings.Repeat("x", maxBody-1))
+		time.Sleep(2 * patience)
+		b.write(ordinary, head("/", maxBody)+strings.Repeat("x", maxBody))
+		b.expect(ordinary, http.StatusOK)
+		b.expect(stalled, 0)
+		if n := b.pool.Counters().Yielded; n != 1 {
+			t.Errorf("%d connections yielded, want 1", n)
+		}
+	})
+}
+
+// Guards against a refusal that the client of a large body never sees, and
+// against one that takes from requests which are served.
+func TestBodyWithoutRoomIsRefused(t *testing.T) {
+	run(t, Limits{Connections: 10, Memory: 4 * ConnectionBytes}, func(t *testing.T, b *bench) {
+		c := b.pipes.dial()
+		b.write(c, head("/", maxBody)+strings.Repeat("x", maxBody))
+		b.expect(c, http.StatusServiceUnavailable)
+	})
+}
+
 // Guards against newcomers that end requests which are served, and against
 // newcomers that wait for nothing.
 func TestNewcomerIsClosedIfAllAreServed(t *testing.T) {
