--- a/ops/connlimit/body.go
+++ b/ops/connlimit/body.go
@@ -17,6 +17,8 @@
 	// is received.
 	firstPiece   = 4 << 10
 	largestPiece = 32 << 10
+	// largeBody is the size in bytes above which bodies are decoded one at a time.
+	largeBody = 16 << 10
 	// linger is the time for which a client that is refused may still send its
 	// body, so that its connection isn't reset before it has read the response.
 	linger = 500 * time.Millisecond
@@ -113,3 +115,13 @@
 	}
 	return whole
 }
+
+// Decode calls decode on a body of r. Large bodies are decoded one at a time,
+// since a decoder may need many times the memory of a body while it works.
+func Decode(r *http.Request, body []byte, decode func([]byte) error) error {
+	if c := connOf(r); c != nil && len(body) > largeBody {
+		c.pool.decoding.Lock()
+		defer c.pool.decoding.Unlock()
+	}
+	return decode(body)
+}
--- a/ops/connlimit/pool.go
+++ b/ops/connlimit/pool.go
@@ -74,6 +74,8 @@
 	limits   Limits
 	timeouts func() Timeouts
 	begun    time.Time
+	// decoding is held while a large body is decoded.
+	decoding sync.Mutex
 
 	mu       sync.Mutex
 	budget   *connbudget.Budget
