Accepted jobs do not use the scheduler's memory up

Cause: a job takes memory from its acceptance until its deletion, long after its end: 168 KB for such a body of 60 KB, 2.3 MB for a job of 5,000 tasks whose body has 60 bytes. Nothing bounded the sum.

Before an entry refuses, the scheduler says that it doesn't know the job, and the store that it has none; then it answers 429 with Retry-After. Without that proof, or while submissions of unknown outcome may still be carried out, it answers 504, which promises nothing. If the scheduler does not answer, the job is accepted. Entries now tell the scheduler of submissions of unknown outcome whether admission is on or not.

A body's bytes count fourfold while it is served, as received, decoded and encoded twice for the store.

--- a/entry/intake/admit.go
+++ b/entry/intake/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"persimmonrock.example/decide/admission"
@@ -61,10 +62,19 @@
 }
 
 // refusalsPaused reports whether nothing is refused for now.
-func (s *Service) refusalsPaused() bool {
-	now := s.clock.now()
-	unconfirmed, undecided := time.Duration(s.unconfirmedAt.Load()), time.Duration(s.undecidedAt.Load())
-	return unconfirmed > 0 && now-unconfirmed < unconfirmedPause || undecided > 0 && now-undecided < undecidedPause
+func (s *Service) refusalsPaused() bool { return s.unconfirmed() || s.undecided() }
+
+// unconfirmed reports whether the scheduler did not confirm a refusal just now.
+func (s *Service) unconfirmed() bool { return s.within(&s.unconfirmedAt, unconfirmedPause) }
+
+// undecided reports whether a submission of unknown outcome may still be carried
+// out.
+func (s *Service) undecided() bool { return s.within(&s.undecidedAt, undecidedPause) }
+
+// within reports whether at, 0 for never, was less than pause ago.
+func (s *Service) within(at *atomic.Int64, pause time.Duration) bool {
+	t := time.Duration(at.Load())
+	return t > 0 && s.clock.now()-t < pause
 }
 
 // confirmRefusal asks the scheduler for its newest outlook and whether it has the
@@ -93,26 +103,29 @@
 
 // proveAbsence reports whether the store has answered that it has no such job.
 func (s *Service) proveAbsence(ctx context.Context, id workload.JobID) bool {
+	found, read := s.findStored(ctx, id)
+	return read && !found
+}
+
+// findStored reports whether the store has a job; read is false if it has not
+// answered.
+func (s *Service) findStored(ctx context.Context, id workload.JobID) (found, read bool) {
 	ctx, cancel := context.WithTimeout(ctx, absenceTimeout)
 	defer cancel()
 	row, err := rowstore.Get(ctx, s.store, scheduler.JobKey(id))
-	switch {
-	case err != nil || ctx.Err() != nil:
+	if err != nil || ctx.Err() != nil {
 		s.Counters.Unread.Add(1)
-	case row.Version != 0:
+		return false, false
+	}
+	if row.Version != 0 {
 		s.Counters.Stored.Add(1)
-	default:
-		return true
 	}
-	return false
+	return row.Version != 0, true
 }
 
 // noteUndecided records that it is not known whether a job is stored, and tells
 // the scheduler, so that no entry refuses the client's next attempt.
 func (s *Service) noteUndecided() {
-	if !s.outlooks.enabled {
-		return
-	}
 	s.undecidedAt.Store(int64(s.clock.now()))
 	s.notifyScheduler(dispatch.NoteArgs{Undecided: true})
 }
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -55,6 +55,9 @@
 	// stored already, or the store did not tell in time. Outlooks counts the
 	// outlooks received.
 	TooLate, Unconfirmed, Stored, Unread, Outlooks atomic.Int64
+	// NoMemory counts jobs that were refused since the scheduler had no memory for
+	// them.
+	NoMemory atomic.Int64
 	// PredictedWait is the wait predicted for refused jobs, OutlookAge the age of
 	// the outlook by which they were refused.
 	PredictedWait, OutlookAge histogram.Latency
@@ -68,7 +71,7 @@
 	return map[string]any{
 		"accepted": c.Accepted.Load(), "repeated": c.Repeated.Load(), "refused": c.Refused.Load(), "undecided": c.Undecided.Load(),
 		"states": c.States.Load(), "state_reads": c.StateReads.Load(), "cancels": c.Cancels.Load(),
-		"too_late": c.TooLate.Load(), "unconfirmed": c.Unconfirmed.Load(), "already_stored": c.Stored.Load(), "unread": c.Unread.Load(),
+		"too_late": c.TooLate.Load(), "no_memory": c.NoMemory.Load(), "unconfirmed": c.Unconfirmed.Load(), "already_stored": c.Stored.Load(), "unread": c.Unread.Load(),
 		"outlooks": c.Outlooks.Load(), "predicted_wait_ms": c.PredictedWait.Summary(), "outlook_age_ms": c.OutlookAge.Summary(),
 		"hand_in_ms": c.Submission.Summary(), "state_ms": c.State.Summary(),
 	}
@@ -83,6 +86,7 @@
 	clock    *StoreClock
 	stopping atomic.Bool
 	outlooks outlookKeeper
+	memory   memoryKeeper
 	// The scheduler last did not confirm a refusal at unconfirmedAt, and the
 	// outcome of a submission was last unknown at undecidedAt; 0 for never. Both
 	// are local times.
@@ -146,6 +150,9 @@
 		return &workload.UnavailableError{RetryAfter: retryAfter, Cause: rowstore.ErrUnavailable}
 	}
 	j.Queue = q
+	if err := s.admitToMemory(ctx, &j); err != nil {
+		return err
+	}
 	if err := s.admit(ctx, &j); err != nil {
 		return err
 	}
@@ -273,8 +280,11 @@
 	args.Mark = s.outlooks.mark()
 	asked := s.clock.now()
 	if s.elector.Note(args) {
-		if term := s.elector.Term(); term != nil && args.Mark.Wanted {
-			s.outlooks.offer(term.Outlook(args.Mark), asked)
+		if term := s.elector.Term(); term != nil {
+			s.memory.offer(term.Memory(), asked)
+			if args.Mark.Wanted {
+				s.outlooks.offer(term.Outlook(args.Mark), asked)
+			}
 		}
 		return
 	}
@@ -287,6 +297,7 @@
 		if err := leader.Call(context.Background(), "Scheduler.Note", args, &reply, noteTimeout); err != nil {
 			s.log.Debug().Err(err).Msg("scheduler has not confirmed a notification; it reads the row from the feed, too")
 		}
+		s.memory.offer(reply.Memory, asked)
 		s.outlooks.offer(reply.Outlook, asked)
 	}()
 }
@@ -309,6 +320,7 @@
 	asked := s.clock.now()
 	if term := s.elector.Term(); term != nil {
 		reply := term.State(args)
+		s.memory.offer(reply.Memory, asked)
 		s.outlooks.offer(reply.Outlook, asked)
 		return reply, true
 	}
@@ -318,6 +330,7 @@
 	}
 	var reply dispatch.StateReply
 	err := leader.Call(ctx, "Scheduler.State", args, &reply, peerTimeout)
+	s.memory.offer(reply.Memory, asked)
 	s.outlooks.offer(reply.Outlook, asked)
 	return reply, err == nil && reply.Leading
 }
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -40,12 +40,31 @@
 	return !deleted && t.storeNow()-j.Accepted < t.cfg.StatusFor.Milliseconds()
 }
 
+// Memory returns the memory that further jobs may take.
+func (t *Term) Memory() dispatch.Memory {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory()
+}
+
+// memory is Memory for callers that hold mu. Entries tell the scheduler of
+// submissions of unknown outcome; a new one has not been told of those before it.
+func (t *Term) memory() dispatch.Memory {
+	now := t.deps.Now()
+	if t.deps.FreeMemory == nil || !t.loaded || now >= t.validUntil {
+		return dispatch.Memory{}
+	}
+	undecided := t.sentOutlook.undecidedAt > 0 && now-t.sentOutlook.undecidedAt < undecidedPause
+	return dispatch.Memory{Known: true, Free: t.deps.FreeMemory(), Unsettled: undecided || now-t.beganAt < undecidedPause}
+}
+
 // State returns the stored state of a job.
 func (t *Term) State(args dispatch.StateArgs) dispatch.StateReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reply := dispatch.StateReply{Leading: t.loaded && t.deps.Now() < t.validUntil}
 	reply.Outlook = t.newerOutlook(args.Mark, args.Refusal != nil)
+	reply.Memory = t.memory()
 	j := t.jobs[args.ID]
 	if j == nil {
 		if args.Refusal != nil && reply.Leading && t.hasOutlook(args.Mark) {
@@ -85,6 +104,7 @@
 	s.Elector.Note(args)
 	if t := s.Elector.Term(); t != nil {
 		reply.Outlook = t.Outlook(args.Mark)
+		reply.Memory = t.Memory()
 	}
 	return nil
 }
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -67,6 +67,9 @@
 	Policy policy.Advisor
 	// Counters accumulates metrics over all terms of the process.
 	Counters *Counters
+	// FreeMemory returns the memory in bytes that further jobs may take; nil for no
+	// limit.
+	FreeMemory func() int64
 }
 
 const (
--- a/ops/connlimit/body.go
+++ b/ops/connlimit/body.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// bodyCost is the memory in bytes of a body's byte: as received, and as
-	// decoded.
-	bodyCost = 2
+	// bodyCost is the memory in bytes of a body's byte: as received, as decoded, and
+	// as encoded for the store and in the call of the store.
+	bodyCost = 4
 	// firstPiece and largestPiece are sizes in bytes of the pieces in which a body
 	// is received.
 	firstPiece   = 4 << 10
--- a/ops/connlimit/connlimit_test.go
+++ b/ops/connlimit/connlimit_test.go
@@ -200,7 +200,7 @@
 // Guards against bodies that stop short and keep the memory from an ordinary
 // request.
 func TestStalledBodyYieldsToAWholeOne(t *testing.T) {
-	run(t, Limits{Connections: 10, Memory: 3*ConnectionBytes + 3*maxBody}, func(t *testing.T, b *bench) {
+	run(t, Limits{Connections: 10, Memory: 3*ConnectionBytes + (bodyCost+1)*maxBody}, func(t *testing.T, b *bench) {
 		stalled, ordinary := b.pipes.dial(), b.pipes.dial()
 		b.write(stalled, head("/", maxBody)+strings.Repeat("x", maxBody-1))
 		time.Sleep(2 * patience)
--- a/ops/connlimit/pool.go
+++ b/ops/connlimit/pool.go
@@ -32,7 +32,7 @@
 	handshakeBytes = 64 << 10
 	// socketBuffer is the size in bytes of each of a connection's buffers in the
 	// kernel. The bytes that it holds are memory of the process.
-	socketBuffer = 16 << 10
+	socketBuffer = 8 << 10
 	// patience is the time after which an incomplete request counts as slow. It
 	// matters only if memory or descriptors are short.
 	patience = time.Second
--- a/wire/dispatch/messages.go
+++ b/wire/dispatch/messages.go
@@ -234,7 +234,21 @@
 }
 
 // NoteReply carries an outlook if the scheduler has a newer one than the caller.
-type NoteReply struct{ Outlook *Outlook }
+type NoteReply struct {
+	Outlook *Outlook
+	Memory  Memory
+}
+
+// Memory says how much memory further jobs may take at the scheduler.
+type Memory struct {
+	// Known is false if the answering process is not the scheduler or has no limit.
+	Known bool
+	// Free is in bytes.
+	Free int64
+	// Unsettled says that submissions of unknown outcome may still be carried out,
+	// so that nobody can say that a job does not run.
+	Unsettled bool
+}
 
 // StateArgs requests a job's state.
 type StateArgs struct {
@@ -255,6 +269,7 @@
 	State   workload.State
 	// Outlook is set if the scheduler has a newer one than the caller.
 	Outlook *Outlook
+	Memory  Memory
 	// RefusalConfirmed answers StateArgs.Refusal: the process has no such job, and
 	// its outlook holds. Booked is the time until which room is promised to jobs
 	// that were refused before.
