The product's own interface bounds clients together, too

What callers saw: at the product's own interface, clients with headers within the limit, bodies of legal size that stop short, or silent connections use the memory or all connections of an entry up, as at the users' platform.

Cause: two ways of serving stood side by side. This one had limits on each client, but none on what all hold; beyond the limit on connections it closed newcomers, so that 4,096 silent clients kept everybody else out.

Change: ops/serve uses ops/connlimit. The new setting limits.memory_bytes, 96 MiB unless set, holds 3,072 connections without a request. Beyond either limit, the connection with the least progress yields. A body that finds no memory is refused with no-memory, whose outcome is unknown: an earlier attempt may have run. Headers count sixteenfold instead of twelvefold, since garbage of the parsing counts, too.

--- a/entry/http.go
+++ b/entry/http.go
@@ -12,6 +12,7 @@
 	"time"
 	"unicode/utf8"
 
+	"persimmonrock.example/ops/connlimit"
 	"persimmonrock.example/ops/keys"
 	"persimmonrock.example/ops/problem"
 	"persimmonrock.example/structs"
@@ -180,12 +181,16 @@
 
 // readBody reads the whole body, up to MaxBody.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *structs.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.config.MaxBody))
+	body, err := connlimit.ReadBody(w, r, e.config.MaxBody, 0)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, &structs.Refusal{Type: structs.RefusedTooLarge, Status: http.StatusRequestEntityTooLarge, Outcome: structs.NotRun,
 			Detail: fmt.Sprintf("the body is above %d bytes", e.config.MaxBody), Step: "http.body"}
+	case errors.Is(err, connlimit.ErrNoMemory):
+		// An earlier attempt with the same Idempotency-Key may have run.
+		return nil, &structs.Refusal{Type: structs.RefusedNoMemory, Status: http.StatusServiceUnavailable, Outcome: structs.Unknown,
+			Detail: "other requests hold the memory for requests", RetryAfter: connlimit.RetryAfter, Step: "http.body"}
 	case err != nil:
 		return nil, badRequest("http.body", "the body could not be read: %v", err)
 	}
--- a/ops/connlimit/body.go
+++ b/ops/connlimit/body.go
@@ -34,8 +34,8 @@
 // ErrTimeout says that a body did not arrive in time.
 var ErrTimeout = errors.New("the body did not arrive in time")
 
-// ReadBody reads the body of r, of at most limit bytes, within timeout. It
-// accounts each piece before it reads it. The errors are *http.MaxBytesError,
+// ReadBody reads the body of r, of at most limit bytes, within timeout if it is
+// above 0, and within the pool's limit. It accounts each piece before it reads it. The errors are *http.MaxBytesError,
 // ErrNoMemory, ErrTimeout and those of the connection; after an error, the
 // response closes the connection. A request outside a pool is read without
 // account.
@@ -43,8 +43,8 @@
 	c := connOf(r)
 	control := http.NewResponseController(w)
 	if c != nil {
-		if body := c.pool.timeouts().Body; body > 0 {
-			timeout = min(timeout, body)
+		if longest := c.pool.timeouts().Body; timeout <= 0 || timeout > longest {
+			timeout = longest
 		}
 		_ = control.SetReadDeadline(time.Now().Add(timeout)) // the pool's sweep closes the connection at the latest
 	}
--- a/ops/connlimit/pool.go
+++ b/ops/connlimit/pool.go
@@ -22,9 +22,9 @@
 	// goroutine's stack, the buffers of net/http, and what the kernel has received
 	// for it.
 	ConnectionBytes = 32 << 10
-	// headerCost is the memory in bytes of a header byte once it is parsed, if all
-	// header lines are as short as possible.
-	headerCost = 12
+	// headerCost is the memory in bytes that a header byte takes, if all header lines
+	// are as short as possible: parsed, and as garbage of the parsing.
+	headerCost = 16
 	// readAhead is the number of bytes after the header that net/http may read
 	// with it.
 	readAhead = 4 << 10
@@ -100,6 +100,20 @@
 	}
 }
 
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Open()
+}
+
+// Held returns the memory in bytes that is in use.
+func (p *Pool) Held() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Held()
+}
+
 // Counters returns the counters.
 func (p *Pool) Counters() Counters {
 	p.mu.Lock()
--- a/ops/serve/serve.go
+++ b/ops/serve/serve.go
@@ -3,6 +3,7 @@
 package serve
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/ops/certs"
+	"persimmonrock.example/ops/connlimit"
 	"persimmonrock.example/ops/events"
 	"persimmonrock.example/ops/problem"
 	"persimmonrock.example/ops/settings"
@@ -65,7 +67,11 @@
 	// stopping makes responses tell callers not to use their connections again.
 	stopping atomic.Bool
 
-	open, refused                        atomic.Int64
+	// pool bounds what clients' connections use together. stopPool ends its watch
+	// over their time.
+	pool     *connlimit.Pool
+	stopPool context.CancelFunc
+
 	requests, tooLarge, panics, unrouted atomic.Int64
 }
 
@@ -98,9 +104,23 @@
 		// net/http logs client errors here; the counters already cover them.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
+	s.pool = newPool(o)
+	s.pool.Configure(s.http)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopPool = cancel
+	go s.pool.Run(ctx)
 	return s, nil
 }
 
+func newPool(o Options) *connlimit.Pool {
+	l := o.Limits
+	timeouts := connlimit.Timeouts{
+		HeaderBytes: l.HeaderBytes, Header: l.ReadHeader.Std(), Idle: l.Idle.Std(), Body: l.ReadBody.Std(), Send: l.Write.Std(),
+	}
+	return connlimit.New(connlimit.Limits{Connections: l.Connections, Memory: l.MemoryBytes, TLS: o.TLS != nil},
+		func() connlimit.Timeouts { return timeouts })
+}
+
 func addCommon(o Options) {
 	o.Mux.HandleFunc("GET "+HealthPath, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintln(w, "ok")
@@ -199,9 +219,14 @@
 }
 
 func (s *Server) vars() any {
+	c := s.pool.Counters()
 	return map[string]int64{
-		"connections_open":    s.open.Load(),
-		"connections_refused": s.refused.Load(),
+		"connections_open":    int64(s.pool.Open()),
+		"connections_refused": int64(c.Refused),
+		"connections_yielded": int64(c.Yielded),
+		"connections_expired": int64(c.Expired),
+		"headers_too_large":   int64(c.HeadersTooLarge),
+		"client_memory_bytes": s.pool.Held(),
 		"requests":            s.requests.Load(),
 		"bodies_too_large":    s.tooLarge.Load(),
 		"unrouted":            s.unrouted.Load(),
--- a/ops/serve/stop.go
+++ b/ops/serve/stop.go
@@ -21,7 +21,7 @@
 
 // Serve accepts connections on l until Shutdown; it then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	l = &limitedListener{Listener: l, limit: int64(s.limits.Connections), open: &s.open, refused: &s.refused}
+	l = s.pool.Listen(l)
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
@@ -52,9 +52,10 @@
 	s.closeListeners()
 	s.stopping.Store(true)
 	s.waitForConnections(ctx)
+	defer s.stopPool()
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.http.Close()
-		return eris.Wrapf(err, "serve: shutdown cut %d connections", s.open.Load())
+		return eris.Wrapf(err, "serve: shutdown cut %d connections", s.pool.Open())
 	}
 	return nil
 }
@@ -80,7 +81,7 @@
 	defer cancel()
 	poll := time.NewTicker(lingerPoll)
 	defer poll.Stop()
-	for s.open.Load() > 0 {
+	for s.pool.Open() > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/ops/settings/common.go
+++ b/ops/settings/common.go
@@ -166,9 +166,12 @@
 	BodyBytes int64 `json:"body_bytes"`
 	// HeaderBytes is the maximum size of a request header in bytes.
 	HeaderBytes int `json:"header_bytes"`
-	// Connections is the maximum number of open connections; further ones are
-	// closed at once.
+	// Connections is the maximum number of open connections; beyond it, those that
+	// show the least progress are closed.
 	Connections int `json:"connections"`
+	// MemoryBytes is the memory in bytes that all connections and their requests
+	// may hold, 32 KiB of it for each connection.
+	MemoryBytes int64 `json:"memory_bytes"`
 	// ReadHeader is the time in which a client must send its header.
 	ReadHeader structs.Duration `json:"read_header"`
 	// ReadBody is the time in which a client must send its body.
@@ -186,6 +189,7 @@
 		BodyBytes:   1 << 20,
 		HeaderBytes: 16 << 10,
 		Connections: 4096,
+		MemoryBytes: 96 << 20,
 		ReadHeader:  seconds(5),
 		ReadBody:    seconds(15),
 		Write:       seconds(15),
@@ -197,6 +201,7 @@
 	out := positive(key+".body_bytes", l.BodyBytes)
 	out = append(out, positive(key+".header_bytes", int64(l.HeaderBytes))...)
 	out = append(out, positive(key+".connections", int64(l.Connections))...)
+	out = append(out, positive(key+".memory_bytes", l.MemoryBytes)...)
 	out = append(out, positiveDuration(key+".read_header", l.ReadHeader)...)
 	out = append(out, positiveDuration(key+".read_body", l.ReadBody)...)
 	out = append(out, positiveDuration(key+".write", l.Write)...)
--- a/structs/refusal.go
+++ b/structs/refusal.go
@@ -29,6 +29,7 @@
 	RefusedTooLarge        RefusalType = "too-large"
 	RefusedDeadline        RefusalType = "deadline"
 	RefusedNoCapacity      RefusalType = "no-capacity"
+	RefusedNoMemory        RefusalType = "no-memory"
 	RefusedShare           RefusalType = "share-used-up"
 	RefusedQueueFull       RefusalType = "queue-full"
 	RefusedDraining        RefusalType = "draining"
