Connections that are closed are logged, and too long a body is refused at once

What operators saw: counters only, when clients' connections were closed to make room or since their time was over. What callers saw: a body whose length in the header is above the limit was read up to the limit before it was refused.

Change: one log line a second at most tells how many connections yielded, were refused, expired or sent too large a header. A body of known length above the limit is refused before it is read. Requests over TLS are shown to be accounted.

--- a/cmd/machine/clients.go
+++ b/cmd/machine/clients.go
@@ -61,6 +61,6 @@
 	s := &http.Server{Handler: h}
 	pool.Configure(s)
 	p.serve(s, pool.Listen(l))
-	go pool.Run(context.WithoutCancel(ctx))
+	go pool.Run(context.WithoutCancel(ctx), p.log)
 	return s, nil
 }
--- a/ops/connlimit/body.go
+++ b/ops/connlimit/body.go
@@ -35,10 +35,10 @@
 var ErrTimeout = errors.New("the body did not arrive in time")
 
 // ReadBody reads the body of r, of at most limit bytes, within timeout if it is
-// above 0, and within the pool's limit. It accounts each piece before it reads it. The errors are *http.MaxBytesError,
-// ErrNoMemory, ErrTimeout and those of the connection; after an error, the
-// response closes the connection. A request outside a pool is read without
-// account.
+// above 0, and within the pool's limit. It accounts each piece before it reads it.
+// The errors are *http.MaxBytesError, ErrNoMemory, ErrTimeout and those of the
+// connection; after an error, the response closes the connection. The body of a
+// request outside a pool is read without account.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	c := connOf(r)
 	control := http.NewResponseController(w)
@@ -48,7 +48,7 @@
 		}
 		_ = control.SetReadDeadline(time.Now().Add(timeout)) // the pool's sweep closes the connection at the latest
 	}
-	pieces, size, err := readPieces(c, http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	pieces, size, err := readPieces(c, w, r, limit)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		_ = control.SetReadDeadline(time.Now().Add(linger))
@@ -69,8 +69,13 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// readPieces reads a body of expected bytes, or -1 if its size is not known.
-func readPieces(c *conn, body io.Reader, expected int64) (pieces [][]byte, size int, err error) {
+// readPieces reads a body in pieces of size bytes together.
+func readPieces(c *conn, w http.ResponseWriter, r *http.Request, limit int64) (pieces [][]byte, size int, err error) {
+	expected := r.ContentLength // -1 if it is not known
+	if expected > limit {
+		return nil, 0, &http.MaxBytesError{Limit: limit}
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
 	next := firstPiece
 	for {
 		n := next
--- a/ops/connlimit/connlimit_test.go
+++ b/ops/connlimit/connlimit_test.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // pipes is a listener whose connections are pipes.
@@ -64,7 +67,7 @@
 		s := &http.Server{Handler: http.HandlerFunc(b.serve)}
 		b.pool.Configure(s)
 		ctx, cancel := context.WithCancel(t.Context())
-		go b.pool.Run(ctx)
+		go b.pool.Run(ctx, zerolog.Nop())
 		go s.Serve(b.pool.Listen(b.pipes))
 		test(t, b)
 		cancel()
@@ -122,6 +125,35 @@
 
 var roomy = Limits{Connections: 10, Memory: 10 << 20}
 
+// Guards against requests over TLS that escape the account, or keep it.
+func TestRequestsOverTLSAreAccounted(t *testing.T) {
+	pool := New(Limits{Connections: 10, Memory: 10 << 20, TLS: true}, func() Timeouts { return timeouts })
+	held := make(chan int64, 1)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, maxBody, bodyTimeout); err != nil {
+			t.Error(err)
+		}
+		held <- pool.Held()
+	}))
+	s.Listener = pool.Listen(s.Listener)
+	pool.Configure(s.Config)
+	s.StartTLS()
+	defer s.Close()
+	resp, err := s.Client().Post(s.URL, "text/plain", strings.NewReader(strings.Repeat("x", maxBody)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if got, least := <-held, int64(ConnectionBytes+bodyCost*maxBody); got < least {
+		t.Errorf("%d bytes were held while a body was served, want %d at least", got, least)
+	}
+	for end := time.Now().Add(10 * time.Second); pool.Held() != ConnectionBytes; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are held after the response, want those of the connection, %d", pool.Held(), ConnectionBytes)
+		}
+	}
+}
+
 // Guards against requests that keep their memory after their response.
 func TestMemoryIsReturnedAfterTheResponse(t *testing.T) {
 	run(t, roomy, func(t *testing.T, b *bench) {
@@ -168,6 +200,19 @@
 	}
 }
 
+// Guards against a body above the limit that is waited for although its length is
+// known.
+func TestBodyAboveTheLimitIsRefusedAtOnce(t *testing.T) {
+	run(t, roomy, func(t *testing.T, b *bench) {
+		c, begun := b.pipes.dial(), time.Now()
+		b.write(c, head("/", maxBody+1))
+		b.expect(c, http.StatusBadRequest)
+		if took := time.Since(begun); took != 0 {
+			t.Errorf("refused after %v", took)
+		}
+	})
+}
+
 // Guards against a body that breaks off and is taken for a whole one.
 func TestBodyThatBreaksOffIsNotWhole(t *testing.T) {
 	run(t, roomy, func(t *testing.T, b *bench) {
--- a/ops/connlimit/pool.go
+++ b/ops/connlimit/pool.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"persimmonrock.example/decide/connbudget"
 )
 
@@ -39,6 +41,8 @@
 	// sweepInterval is the time between two looks for connections whose time is
 	// over.
 	sweepInterval = 250 * time.Millisecond
+	// logInterval is the least time between two log lines on closed connections.
+	logInterval = time.Second
 )
 
 // Timeouts are the limits on one client that may change while the server runs.
@@ -158,10 +162,13 @@
 	return conn
 }
 
-// Run closes connections whose time is over until ctx ends.
-func (p *Pool) Run(ctx context.Context) {
+// Run closes connections whose time is over until ctx ends, and logs how many were
+// closed for which reason.
+func (p *Pool) Run(ctx context.Context, log zerolog.Logger) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
+	var logged Counters
+	var loggedAt time.Duration
 	for {
 		select {
 		case <-ctx.Done():
@@ -169,6 +176,12 @@
 		case <-tick.C:
 			p.sweep()
 		}
+		if c := p.Counters(); c != logged && p.now()-loggedAt >= logInterval {
+			log.Warn().Uint64("yielded", c.Yielded-logged.Yielded).Uint64("refused", c.Refused-logged.Refused).
+				Uint64("expired", c.Expired-logged.Expired).Uint64("headers_too_large", c.HeadersTooLarge-logged.HeadersTooLarge).
+				Int("open", p.Open()).Int64("held_bytes", p.Held()).Msg("connections of clients closed")
+			logged, loggedAt = c, p.now()
+		}
 	}
 }
 
--- a/ops/serve/serve.go
+++ b/ops/serve/serve.go
@@ -108,7 +108,7 @@
 	s.pool.Configure(s.http)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopPool = cancel
-	go s.pool.Run(ctx)
+	go s.pool.Run(ctx, o.Log)
 	return s, nil
 }
 
