--- a/cmd/machine/clients.go
+++ b/cmd/machine/clients.go
@@ -32,7 +32,7 @@
 
 // newClients returns the pool of the clients' connections.
 func (p *program) newClients(limits func() workload.Limits) *connlimit.Pool {
-	return connlimit.New(p.clientShare(), func() connlimit.Timeouts { return clientTimeouts(limits()) })
+	return connlimit.New(p.clientShare(), func() connlimit.ClientLimits { return clientLimits(limits()) })
 }
 
 // clientShare returns what all clients may use together.
@@ -43,9 +43,9 @@
 	}
 }
 
-// clientTimeouts returns the limits on one client under a configuration.
-func clientTimeouts(l workload.Limits) connlimit.Timeouts {
-	return connlimit.Timeouts{
+// clientLimits returns the limits on one client under a configuration.
+func clientLimits(l workload.Limits) connlimit.ClientLimits {
+	return connlimit.ClientLimits{
 		HeaderBytes: cmp.Or(l.HeaderBytes, defaultLimits.HeaderBytes), Header: cmp.Or(l.Header, defaultLimits.ReadHeader.Std()),
 		Idle: cmp.Or(l.Idle, defaultLimits.Idle.Std()), Body: defaultLimits.ReadBody.Std(), Send: defaultLimits.Write.Std(),
 	}
--- a/cmd/machine/clients_test.go
+++ b/cmd/machine/clients_test.go
@@ -12,13 +12,13 @@
 // What the operator's configuration leaves out, and everything until it is known,
 // has the default of the product's own interface.
 func TestLimitsOfTheConfigurationTakeEffect(t *testing.T) {
-	configured := clientTimeouts(workload.Limits{HeaderBytes: 1, Header: 2 * time.Second, Idle: 3 * time.Second})
-	want := connlimit.Timeouts{HeaderBytes: 1, Header: 2 * time.Second, Idle: 3 * time.Second, Body: 15 * time.Second, Send: 15 * time.Second}
+	configured := clientLimits(workload.Limits{HeaderBytes: 1, Header: 2 * time.Second, Idle: 3 * time.Second})
+	want := connlimit.ClientLimits{HeaderBytes: 1, Header: 2 * time.Second, Idle: 3 * time.Second, Body: 15 * time.Second, Send: 15 * time.Second}
 	if configured != want {
 		t.Errorf("limits %+v, want %+v", configured, want)
 	}
-	defaults := clientTimeouts(workload.Limits{})
-	want = connlimit.Timeouts{HeaderBytes: 16 << 10, Header: 5 * time.Second, Idle: 2 * time.Minute, Body: 15 * time.Second, Send: 15 * time.Second}
+	defaults := clientLimits(workload.Limits{})
+	want = connlimit.ClientLimits{HeaderBytes: 16 << 10, Header: 5 * time.Second, Idle: 2 * time.Minute, Body: 15 * time.Second, Send: 15 * time.Second}
 	if defaults != want {
 		t.Errorf("default limits %+v, want %+v", defaults, want)
 	}
--- a/ops/connlimit/body.go
+++ b/ops/connlimit/body.go
@@ -43,7 +43,7 @@
 	c := connOf(r)
 	control := http.NewResponseController(w)
 	if c != nil {
-		if longest := c.pool.timeouts().Body; timeout <= 0 || timeout > longest {
+		if longest := c.pool.clientLimits().Body; timeout <= 0 || timeout > longest {
 			timeout = longest
 		}
 		_ = control.SetReadDeadline(time.Now().Add(timeout)) // the pool's sweep closes the connection at the latest
--- a/ops/connlimit/conn.go
+++ b/ops/connlimit/conn.go
@@ -43,7 +43,7 @@
 	p.mu.Lock()
 	if c.account.State() == connbudget.Idle {
 		now := p.now()
-		p.budget.Receive(c.account, now, now+p.timeouts().Header)
+		p.budget.Receive(c.account, now, now+p.clientLimits().Header)
 		c.inBody, c.headerBytes = false, 0
 	}
 	if c.inBody || c.account.State() != connbudget.Receiving {
@@ -51,7 +51,7 @@
 		return nil
 	}
 	c.headerBytes += n
-	limit := p.timeouts().HeaderBytes + readAhead
+	limit := p.clientLimits().HeaderBytes + readAhead
 	if c.handshake {
 		limit += handshakeBytes
 	}
@@ -88,7 +88,7 @@
 	p := c.pool
 	p.mu.Lock()
 	now := p.now()
-	p.budget.Send(c.account, now, now+p.timeouts().Send)
+	p.budget.Send(c.account, now, now+p.clientLimits().Send)
 	p.mu.Unlock()
 	return c.Conn.Write(b)
 }
@@ -130,7 +130,7 @@
 	}
 	// A body that takes longer is refused by ReadBody; its client has linger to read
 	// the response.
-	p.budget.Extend(c.account, now+p.timeouts().Body+2*linger)
+	p.budget.Extend(c.account, now+p.clientLimits().Body+2*linger)
 	return last
 }
 
@@ -147,7 +147,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	p.budget.Rest(c.account, now, now+p.timeouts().Idle)
+	p.budget.Rest(c.account, now, now+p.clientLimits().Idle)
 }
 
 // SetBuffers is a net.ListenConfig.Control that bounds what the kernel receives
--- a/ops/connlimit/connlimit_test.go
+++ b/ops/connlimit/connlimit_test.go
@@ -50,7 +50,7 @@
 	bodyTimeout = 5 * time.Second
 )
 
-var timeouts = Timeouts{HeaderBytes: 8 << 10, Header: 3 * time.Second, Idle: 15 * time.Second, Body: 10 * time.Second, Send: 10 * time.Second}
+var clientLimits = ClientLimits{HeaderBytes: 8 << 10, Header: 3 * time.Second, Idle: 15 * time.Second, Body: 10 * time.Second, Send: 10 * time.Second}
 
 // bench is a server with a pool, in fake time. Its handler responds with the size
 // of the body, or with the error.
@@ -63,7 +63,7 @@
 
 func run(t *testing.T, l Limits, test func(*testing.T, *bench)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bench{t: t, pool: New(l, func() Timeouts { return timeouts }), pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, release: make(chan struct{})}
+		b := &bench{t: t, pool: New(l, func() ClientLimits { return clientLimits }), pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, release: make(chan struct{})}
 		s := &http.Server{Handler: http.HandlerFunc(b.serve)}
 		b.pool.Configure(s)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -127,7 +127,7 @@
 
 // Guards against requests over TLS that escape the account, or keep it.
 func TestRequestsOverTLSAreAccounted(t *testing.T) {
-	pool := New(Limits{Connections: 10, Memory: 10 << 20, TLS: true}, func() Timeouts { return timeouts })
+	pool := New(Limits{Connections: 10, Memory: 10 << 20, TLS: true}, func() ClientLimits { return clientLimits })
 	held := make(chan int64, 1)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := ReadBody(w, r, maxBody, bodyTimeout); err != nil {
@@ -173,14 +173,14 @@
 func TestHeaderAboveTheLimitIsRefused(t *testing.T) {
 	run(t, roomy, func(t *testing.T, b *bench) {
 		c := b.pipes.dial()
-		b.write(c, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", 2*timeouts.HeaderBytes))
+		b.write(c, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", 2*clientLimits.HeaderBytes))
 		b.expect(c, http.StatusRequestHeaderFieldsTooLarge)
 		b.expect(c, 0)
 		if n := b.pool.Counters().HeadersTooLarge; n != 1 {
 			t.Errorf("%d headers counted as too large", n)
 		}
 		within := b.pipes.dial()
-		b.write(within, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", timeouts.HeaderBytes-100)+"\r\n\r\n")
+		b.write(within, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", clientLimits.HeaderBytes-100)+"\r\n\r\n")
 		b.expect(within, http.StatusOK)
 	})
 }
@@ -228,7 +228,7 @@
 	for _, c := range []struct {
 		name, text string
 		after      time.Duration
-	}{{"without a byte", "", timeouts.Idle}, {"in the header", "GET / HT", timeouts.Header}} {
+	}{{"without a byte", "", clientLimits.Idle}, {"in the header", "GET / HT", clientLimits.Header}} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, roomy, func(t *testing.T, b *bench) {
 				conn, begun := b.pipes.dial(), time.Now()
--- a/ops/connlimit/pool.go
+++ b/ops/connlimit/pool.go
@@ -45,8 +45,8 @@
 	logInterval = time.Second
 )
 
-// Timeouts are the limits on one client that may change while the server runs.
-type Timeouts struct {
+// ClientLimits bounds one client. They may change while the server runs.
+type ClientLimits struct {
 	// HeaderBytes is the maximum size of a header.
 	HeaderBytes int
 	// Header is the time from the first byte of a request to the end of its
@@ -76,9 +76,9 @@
 
 // Pool holds the connections of a server's clients.
 type Pool struct {
-	limits   Limits
-	timeouts func() Timeouts
-	begun    time.Time
+	limits       Limits
+	clientLimits func() ClientLimits
+	begun        time.Time
 	// decoding is held while a large body is decoded.
 	decoding sync.Mutex
 
@@ -87,9 +87,9 @@
 	counters Counters
 }
 
-// New returns a pool. It asks timeouts for the current limits on one client.
-func New(l Limits, timeouts func() Timeouts) *Pool {
-	return &Pool{limits: l, timeouts: timeouts, begun: time.Now(), budget: connbudget.New(connbudget.Limits{
+// New returns a pool. It asks clientLimits for the current limits on one client.
+func New(l Limits, clientLimits func() ClientLimits) *Pool {
+	return &Pool{limits: l, clientLimits: clientLimits, begun: time.Now(), budget: connbudget.New(connbudget.Limits{
 		Connections: l.Connections, Memory: l.Memory, PerConnection: ConnectionBytes, Patience: patience,
 	})}
 }
@@ -237,7 +237,7 @@
 	c := &conn{Conn: inner, pool: p, handshake: p.limits.TLS}
 	p.mu.Lock()
 	now := p.now()
-	account, yield, ok := p.budget.Accept(c, now, now+p.timeouts().Idle)
+	account, yield, ok := p.budget.Accept(c, now, now+p.clientLimits().Idle)
 	p.counters.Yielded += uint64(len(yield))
 	if !ok {
 		p.counters.Refused++
--- a/ops/serve/serve.go
+++ b/ops/serve/serve.go
@@ -114,11 +114,11 @@
 
 func newPool(o Options) *connlimit.Pool {
 	l := o.Limits
-	timeouts := connlimit.Timeouts{
+	client := connlimit.ClientLimits{
 		HeaderBytes: l.HeaderBytes, Header: l.ReadHeader.Std(), Idle: l.Idle.Std(), Body: l.ReadBody.Std(), Send: l.Write.Std(),
 	}
 	return connlimit.New(connlimit.Limits{Connections: l.Connections, Memory: l.MemoryBytes, TLS: o.TLS != nil},
-		func() connlimit.Timeouts { return timeouts })
+		func() connlimit.ClientLimits { return client })
 }
 
 func addCommon(o Options) {
