--- a/review/standin-3/explore.go
+++ b/review/standin-3/explore.go
@@ -23,7 +23,7 @@
 	}
 	kinds := os.Getenv("FAULTS")
 	if kinds == "" {
-		kinds = "entrykill,agentkill,crash,entryfreeze,agentfreeze,busy,lost,late,term,silent,orderslate,answerslost,leave"
+		kinds = "entrykill,agentkill,crash,entryfreeze,agentfreeze,busy,lost,late,term,silent,orderslate,answerslost,leave,flap,resets,slow"
 	}
 	list := strings.Split(kinds, ",")
 	return play(root, record, options{entries: 3, labels: labels, cpu: 8000}, func(d *deployment) int {
@@ -213,10 +213,17 @@
 		} else {
 			d.agents[n].signal(syscall.SIGTERM)
 		}
-	case "orderslate", "answerslost":
+	case "flap":
+		go d.sites[n].flap()
+	case "orderslate", "answerslost", "resets", "slow":
 		f := minionFault{late: 0.3}
-		if kind == "answerslost" {
+		switch kind {
+		case "answerslost":
 			f = minionFault{lost: 0.4}
+		case "resets":
+			f = minionFault{reset: 0.4}
+		case "slow":
+			f = minionFault{slow: rand.N(600 * time.Millisecond)}
 		}
 		s := d.sites[n]
 		s.setFault(f)
--- a/review/standin-3/flap.go
+++ b/review/standin-3/flap.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"sync/atomic"
 	"time"
@@ -156,3 +157,45 @@
 		return held
 	})
 }
+
+// scheduledJob: a job of ten tasks that runs eight times, 250 ms apart, on ten
+// minions. One of them crashes once, and is back 0.7 s later. Broken if the job is
+// shown as failed although none of its runs has ended so.
+func scheduledJob(root, record string, trouble bool) int {
+	const (
+		times    = 8
+		interval = 250 * time.Millisecond
+		down     = 700 * time.Millisecond
+	)
+	return play(root, record, tenMinions(), func(d *deployment) int {
+		first := time.Now().Add(time.Second)
+		j := &jobSpec{
+			Spec: "grade report", Repeat: times, FirstMs: first.UnixMilli(), IntervalMs: interval.Milliseconds(),
+			Steps: []*stepSpec{{Count: 10, CPU: 7000, Mem: 13000, EstimatedMs: 2200, workMs: 2200}},
+		}
+		if accepted, _ := d.submit(j); !accepted {
+			return notRun
+		}
+		if trouble {
+			time.Sleep(time.Until(first) + 1100*time.Millisecond)
+			s := d.sites[rand.IntN(len(d.sites))]
+			s.crash()
+			time.Sleep(down)
+			if err := s.start(); err != nil {
+				return notRun
+			}
+		}
+		state := d.follow(j.id, time.Now().Add(60*time.Second))
+		d.rules.mu.Lock()
+		failed, starts := d.rules.failedEnd[j.id], d.rules.startsOf[j.id]
+		d.rules.mu.Unlock()
+		d.note("result", "state", state, "starts", starts, "ends_failed", failed)
+		switch {
+		case state == "completed":
+			return held
+		case state == "failed" && failed == 0:
+			return broken
+		}
+		return notRun
+	})
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]func(root, record string, trouble bool) int{
 	"explore":        explore,
+	"scheduled-job":  scheduledJob,
 	"flapping-job":   flappingJob,
 	"flapping-watch": flappingWatch,
 }
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -45,6 +45,10 @@
 	// late is the share of orders that get no answer and are carried out 2 to 12 s
 	// later, lost the share of calls that are carried out and get no answer.
 	late, lost float64
+	// reset is the share of calls whose connection is reset before anything is done,
+	// slow delays every answer.
+	reset float64
+	slow  time.Duration
 }
 
 func (s *site) setFault(f minionFault) {
@@ -259,6 +263,10 @@
 			return
 		}
 		f := m.s.currentFault()
+		if rand.Float64() < f.reset {
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(f.slow)
 		if r.URL.Path != "/hold" && rand.Float64() < f.late {
 			time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
 				if m.lives() {
