--- a/review/standin-3/flap.go
+++ b/review/standin-3/flap.go
@@ -166,6 +166,10 @@
 		times    = 8
 		interval = 250 * time.Millisecond
 		down     = 700 * time.Millisecond
+		// The minion crashes from earliest on after the first time is due, at most later
+		// than that.
+		earliest = 800 * time.Millisecond
+		later    = time.Second
 	)
 	return play(root, record, tenMinions(), func(d *deployment) int {
 		first := time.Now().Add(time.Second)
@@ -177,7 +181,7 @@
 			return notRun
 		}
 		if trouble {
-			time.Sleep(time.Until(first) + 1100*time.Millisecond)
+			time.Sleep(time.Until(first) + earliest + rand.N(later))
 			s := d.sites[rand.IntN(len(d.sites))]
 			s.crash()
 			time.Sleep(down)
