--- a/sessions/machines/rules.go
+++ b/sessions/machines/rules.go
@@ -266,7 +266,7 @@
 	}
 	for _, a := range step.After {
 		for i := range j.spec.Steps[a].Count {
-			if !j.done[workload.TaskID{Job: t.Job, Step: a, Index: i}] {
+			if !j.done[workload.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: a, Index: i}] {
 				r.breach("%s started %s before step %d was done", w, o.Run, a)
 				break
 			}
