--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -2,7 +2,11 @@
 // began by chance just before workers crashed for other reasons.
 package blame
 
-import "math"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// deadlyBefore is the assumed share of deadly tasks among those that are
@@ -15,6 +19,9 @@
 	// minCrashes is the least number of confirmed crashes for that: two may come
 	// from a fault of the fleet that begins with them.
 	minCrashes = 3
+	// minOwnCrashes is the least number of them under the task itself, if those under
+	// the same task of other occurrences count, too.
+	minOwnCrashes = 2
 	// lastInnocent, soonInnocent and fellowInnocent are the assumed chances that a
 	// crash was caused by a task of another job that began about the same time: if
 	// the task alone was the last to begin, if the worker was silent within moments
@@ -54,53 +61,134 @@
 	return -math.Log(min(1, innocent))
 }
 
+// Trial is a run of a task under which the worker was lost.
+type Trial struct {
+	// Worker is the incarnation that was lost.
+	Worker string
+	// Began is when the run was placed, Lost when the loss of the worker was known.
+	// Began is zero for a run that an earlier scheduler placed.
+	Began, Lost time.Time
+	// Chance is that of an unrelated crash at the time (Rate.Chance).
+	Chance float64
+	Crash  Crash
+}
+
 // Evidence is what speaks against a task: the crashes since one of its runs was last
 // harmless. The zero value is no evidence.
 type Evidence struct {
-	confirmed int32
-	// odds is the logarithm of the factor by which the crashes change the odds.
-	odds float32
+	// former counts the crashes that an earlier scheduler saw.
+	former int
+	trials []Trial
 }
 
 // Former returns the evidence of crashes that an earlier scheduler saw, of which only
 // the number is known for which the task's job alone could be the cause.
-func Former(alone int) Evidence {
-	w := Crash{Confirmed: true, Alone: true}.Weight(formerChance)
-	return Evidence{confirmed: int32(alone), odds: float32(float64(alone) * w)}
+func Former(alone int) *Evidence { return &Evidence{former: alone} }
+
+// Add adds a trial. A worker crashes once: what is already known of the loss of the
+// same worker is replaced.
+func (e *Evidence) Add(t Trial) {
+	if i := e.find(t.Worker); i >= 0 {
+		e.trials[i] = t
+		return
+	}
+	e.trials = append(e.trials, t)
 }
 
-// Add adds a crash.
-func (e *Evidence) Add(c Crash, chance float64) {
-	if c.Confirmed {
-		e.confirmed++
+func (e *Evidence) find(worker string) int {
+	return slices.IndexFunc(e.trials, func(t Trial) bool { return t.Worker == worker })
+}
+
+// Deadly reports whether the task counts as the cause of its crashes. The latest one,
+// of the given worker, must speak against it alone: the task was tried apart from
+// others, or began last. others is the evidence against the same task in other
+// occurrences of its job.
+func (e *Evidence) Deadly(worker string, others ...*Evidence) bool {
+	latest, ok := e.convicting(worker)
+	if !ok {
+		return false
+	}
+	own := e.weigh(latest, nil)
+	if own.confirmed < minOwnCrashes {
+		return false
 	}
-	e.odds += float32(c.Weight(chance))
+	return own.deadly() || e.weigh(latest, others).deadly()
 }
 
-// Correct replaces a crash that was added by what is known of it now.
-func (e *Evidence) Correct(before, now Crash, chance float64) {
-	e.odds += float32(now.Weight(chance) - before.Weight(chance))
+// LikelyDeadly reports whether the task is likely to be the cause, but one more crash
+// is needed for it to count as such. worker is the one that crashed last.
+func (e *Evidence) LikelyDeadly(worker string) bool {
+	latest, ok := e.convicting(worker)
+	if !ok {
+		return false
+	}
+	v := e.weigh(latest, nil)
+	return v.confirmed == minCrashes-1 && v.odds >= math.Log(likelyOdds)
 }
 
-// AddAll adds the crashes of other.
-func (e *Evidence) AddAll(other Evidence) {
-	e.confirmed += other.confirmed
-	e.odds += other.odds
+// convicting returns the trial on the given worker, and whether it can be the one by
+// which a task counts as deadly.
+func (e *Evidence) convicting(worker string) (Trial, bool) {
+	i := e.find(worker)
+	if i < 0 {
+		return Trial{}, false
+	}
+	c := e.trials[i].Crash
+	return e.trials[i], c.Confirmed && (c.Alone || c.Last)
 }
 
-// Deadly reports whether the task counts as the cause of its crashes. The latest one
-// must speak against it alone: the task was tried apart from others, or began last.
-func (e *Evidence) Deadly(latest Crash) bool {
-	return e.confirmed >= minCrashes && e.convinces(latest, certainOdds)
+// verdict sums up evidence: the number of independent confirmed crashes, and the
+// logarithm of the odds that the task is deadly.
+type verdict struct {
+	confirmed int
+	odds      float64
 }
 
-// LikelyDeadly reports whether the task is likely to be the cause, but one more crash
-// is needed for it to count as such.
-func (e *Evidence) LikelyDeadly(latest Crash) bool {
-	return e.confirmed == minCrashes-1 && e.convinces(latest, likelyOdds)
+func (v verdict) deadly() bool {
+	return v.confirmed >= minCrashes && v.odds >= math.Log(certainOdds)
+}
+
+func (e *Evidence) weigh(latest Trial, others []*Evidence) verdict {
+	all := slices.Clone(e.trials)
+	for _, o := range others {
+		all = append(all, o.trials...)
+	}
+	chain := independent(latest, all)
+	former := e.former
+	if !chain[len(chain)-1].Began.IsZero() {
+		// Only the numbers are known of earlier schedulers' crashes, not which of them
+		// several occurrences share.
+		for _, o := range others {
+			former = max(former, o.former)
+		}
+	}
+	v := verdict{odds: math.Log(deadlyBefore / (1 - deadlyBefore))}
+	for range former {
+		v.add(Crash{Confirmed: true, Alone: true}.Weight(formerChance))
+	}
+	for _, t := range chain {
+		v.add(t.Crash.Weight(t.Chance))
+	}
+	return v
 }
 
-func (e *Evidence) convinces(latest Crash, least float64) bool {
-	odds := math.Log(deadlyBefore/(1-deadlyBefore)) + float64(e.odds)
-	return latest.Confirmed && (latest.Alone || latest.Last) && odds >= math.Log(least)
+func (v *verdict) add(weight float64) {
+	v.confirmed++
+	v.odds += weight
+}
+
+// independent returns a longest sequence of confirmed trials, from latest back, each
+// of which was lost before the one after it began. One crash ends the runs of several
+// occurrences, and one failure may end several workers: trials that overlap may have
+// one cause.
+func independent(latest Trial, all []Trial) []Trial {
+	slices.SortStableFunc(all, func(a, b Trial) int { return b.Began.Compare(a.Began) })
+	chain, next := []Trial{latest}, latest
+	for _, t := range all {
+		counted := slices.ContainsFunc(chain, func(c Trial) bool { return c.Worker == t.Worker })
+		if t.Crash.Confirmed && !counted && !t.Lost.After(next.Began) {
+			chain, next = append(chain, t), t
+		}
+	}
+	return chain
 }
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -1,11 +1,31 @@
 package blame
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 )
 
+// trials returns one trial after the other, each on another worker.
+func trials(chance float64, crashes ...Crash) []Trial {
+	began := time.Unix(1000, 0)
+	var list []Trial
+	for i, c := range crashes {
+		at := began.Add(time.Duration(i) * time.Minute)
+		list = append(list, Trial{Worker: fmt.Sprint("w-", i), Began: at, Lost: at.Add(time.Second), Chance: chance, Crash: c})
+	}
+	return list
+}
+
+func evidence(list ...Trial) *Evidence {
+	e := &Evidence{}
+	for _, t := range list {
+		e.Add(t)
+	}
+	return e
+}
+
 // Failure guarded against: a task is judged by its crashes alone, whatever the others
 // see, or is never judged.
 func TestDeadlyAfter(t *testing.T) {
@@ -36,11 +56,9 @@
 		{"three alone, the latest unconfirmed", rare, []Crash{alone, alone, lost}, false},
 	}
 	for _, c := range cases {
-		var e Evidence
-		for _, x := range c.crashes {
-			e.Add(x, c.chance)
-		}
-		if got := e.Deadly(c.crashes[len(c.crashes)-1]); got != c.want {
+		list := trials(c.chance, c.crashes...)
+		e := evidence(list...)
+		if got := e.Deadly(list[len(list)-1].Worker); got != c.want {
 			t.Errorf("%s: deadly %t, want %t (evidence %+v)", c.name, got, c.want, e)
 		}
 	}
@@ -64,25 +82,66 @@
 		{"three alone", 0.003, []Crash{alone, alone, alone}, false},
 	}
 	for _, c := range cases {
-		var e Evidence
-		for _, x := range c.crashes {
-			e.Add(x, c.chance)
-		}
-		if got := e.LikelyDeadly(c.crashes[len(c.crashes)-1]); got != c.want {
+		list := trials(c.chance, c.crashes...)
+		e := evidence(list...)
+		if got := e.LikelyDeadly(list[len(list)-1].Worker); got != c.want {
 			t.Errorf("%s: likely deadly %t, want %t (evidence %+v)", c.name, got, c.want, e)
 		}
 	}
 }
 
+// Failure guarded against: a crash counts twice, once as first reported and once as
+// known in the end.
 func TestCorrectedCrashCountsAsKnownNow(t *testing.T) {
-	const chance = 0.01
 	before, now := Crash{Confirmed: true, Soon: true}, Crash{Confirmed: true, Soon: true, Alone: true}
-	var corrected, direct Evidence
-	corrected.Add(before, chance)
-	corrected.Correct(before, now, chance)
-	direct.Add(now, chance)
-	if math.Abs(float64(corrected.odds-direct.odds)) > 1e-5 || corrected.confirmed != direct.confirmed {
-		t.Errorf("corrected %+v, added %+v", corrected, direct)
+	first, latest := trials(0.01, before)[0], trials(0.01, now)[0]
+	corrected, direct := evidence(first, latest), evidence(latest)
+	if got, want := corrected.weigh(latest, nil), direct.weigh(latest, nil); got != want {
+		t.Errorf("corrected %+v, added %+v", got, want)
+	}
+}
+
+// Failure guarded against: one crash that ends the runs of several occurrences counts
+// once for each of them, or crashes of one task in several occurrences do not add up.
+func TestCrashOfSeveralOccurrencesCountsOnce(t *testing.T) {
+	alone := Crash{Confirmed: true, Alone: true}
+	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	trial := func(worker string, began, lost int) *Evidence {
+		return evidence(Trial{Worker: worker, Began: at(began), Lost: at(lost), Chance: 0.003, Crash: alone})
+	}
+	restored := func(worker string, lost int) *Evidence {
+		return evidence(Trial{Worker: worker, Lost: at(lost), Chance: 0.003, Crash: alone})
+	}
+	join := func(former int, list ...*Evidence) *Evidence {
+		e := Former(former)
+		for _, x := range list {
+			e.trials = append(e.trials, x.trials...)
+		}
+		return e
+	}
+	cases := []struct {
+		name   string
+		own    *Evidence
+		others []*Evidence
+		want   bool
+	}{
+		{"one worker under three occurrences", trial("a", 2, 3), []*Evidence{trial("a", 0, 3), trial("a", 1, 3)}, false},
+		{"three workers at once", trial("a", 2, 3), []*Evidence{trial("b", 0, 3), trial("c", 1, 3)}, false},
+		{"three workers at once, known one after the other", trial("a", 2, 5), []*Evidence{trial("b", 0, 3), trial("c", 1, 4)}, false},
+		{"one occurrence after the other", trial("a", 4, 5), []*Evidence{trial("b", 0, 1), trial("c", 2, 3)}, false},
+		{"one after the other, and its own", join(0, trial("a", 0, 1), trial("b", 4, 5)), []*Evidence{trial("c", 2, 3)}, true},
+		{"two crashes under two occurrences each", trial("a", 2, 3), []*Evidence{join(0, trial("b", 0, 1), trial("a", 2, 3)), trial("b", 0, 1)}, false},
+		{"three crashes of its own, at once with others", join(0, trial("a", 0, 1), trial("b", 2, 3), trial("c", 4, 5)), []*Evidence{trial("d", 1, 6)}, true},
+		{"two former crashes of another occurrence, one of its own, and one", join(1, trial("a", 4, 5)), []*Evidence{Former(2)}, true},
+		{"one former crash of each occurrence, and one", join(1, trial("a", 4, 5)), []*Evidence{Former(1), Former(1)}, false},
+		{"two former crashes of another occurrence, and a run from that time", join(1, restored("a", 5)), []*Evidence{Former(2)}, false},
+		{"two former crashes of its own, and a run from that time", join(2, restored("a", 5)), nil, true},
+	}
+	for _, c := range cases {
+		latest := c.own.trials[len(c.own.trials)-1]
+		if got := c.own.Deadly(latest.Worker, c.others...); got != c.want {
+			t.Errorf("%s: deadly %t, want %t", c.name, got, c.want)
+		}
 	}
 }
 
@@ -92,8 +151,9 @@
 	alone := Crash{Confirmed: true, Alone: true}
 	for former := range 4 {
 		e := Former(former)
-		e.Add(alone, 0.003)
-		if got := e.Deadly(alone); got != (former >= 2) {
+		latest := trials(0.003, alone)[0]
+		e.Add(latest)
+		if got := e.Deadly(latest.Worker); got != (former >= 2) {
 			t.Errorf("%d former crashes and one: deadly %t", former, got)
 		}
 	}
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -72,8 +72,8 @@
 	begun, soon, last bool
 	// prime: see markPrime.
 	prime bool
-	// crash is the crash as evidence against the task.
-	crash blame.Crash
+	// trial is the loss as evidence against the task.
+	trial blame.Trial
 }
 
 // suspects lists the tasks that may be the cause of the loss of w. The caller
@@ -87,12 +87,21 @@
 		}
 		fresh, named := loss.fresh[r]
 		if loss.judged && named || !loss.judged && !k.provenOn(w) {
-			list = append(list, suspect{job: j, step: s, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon, last: fresh.Last})
+			list = append(list, suspect{job: j, step: s, task: k, run: r, begun: fresh.Begun, soon: fresh.Soon, last: fresh.Last, trial: k.trialOn(w)})
 		}
 	}
 	return list
 }
 
+// trialOn returns the placed run as a trial on w, which is lost now.
+func (k *task) trialOn(w *worker) blame.Trial {
+	trial := blame.Trial{Worker: string(w.id), Lost: time.Now()}
+	if !k.fromEarlierTerm {
+		trial.Began = k.placedAt
+	}
+	return trial
+}
+
 // placedRun returns the job, step and task of a run, or nil if r is no longer
 // the placed run of its task or not placed on w.
 func (t *Term) placedRun(w *worker, r workload.RunID) (*job, *step, *task) {
@@ -128,8 +137,8 @@
 	chance := t.chanceOfCrash()
 	for i := range suspects {
 		s := &suspects[i]
-		s.crash = blame.Crash{Confirmed: s.begun, Last: sole && s.prime, Soon: s.soon}
-		s.task.evidence.Add(s.crash, chance)
+		s.trial.Crash, s.trial.Chance = blame.Crash{Confirmed: s.begun, Last: sole && s.prime, Soon: s.soon}, chance
+		s.task.addEvidence(s.trial)
 		s.task.crashes++
 		s.task.prime = s.prime
 		s.job.suspect = s.job.suspect || s.prime
@@ -164,7 +173,7 @@
 // deferLastTrial defers the next runs of the job if one more crash by the task would
 // fail it.
 func (s *suspect) deferLastTrial(now time.Time) {
-	if !s.job.lasts() && s.task.evidence.LikelyDeadly(s.crash) {
+	if !s.job.lasts() && s.task.evidence.LikelyDeadly(s.trial.Worker) {
 		s.job.deferredUntil = now.Add(lastTrialWait)
 	}
 }
@@ -184,18 +193,25 @@
 // deadly reports whether the task counts as the cause of its crashes. Those of the
 // same task in other occurrences of the job count, too, unless it is done in one.
 func (s *suspect) deadly() bool {
-	sum := s.task.evidence
+	var others []*blame.Evidence
 	id := s.run.Task
 	for _, o := range s.job.occurrences {
 		switch other := &o.steps[id.Step].tasks[id.Index]; {
 		case other == s.task:
 		case other.state == taskDone:
-			return s.task.evidence.Deadly(s.crash)
-		default:
-			sum.AddAll(other.evidence)
+			return s.task.evidence.Deadly(s.trial.Worker)
+		case other.evidence != nil:
+			others = append(others, other.evidence)
 		}
 	}
-	return sum.Deadly(s.crash)
+	return s.task.evidence.Deadly(s.trial.Worker, others...)
+}
+
+func (k *task) addEvidence(t blame.Trial) {
+	if k.evidence == nil {
+		k.evidence = &blame.Evidence{}
+	}
+	k.evidence.Add(t)
 }
 
 // chanceOfCrash is the chance that a fresh run's worker crashes for another reason.
@@ -243,9 +259,8 @@
 		}
 		s.task.certain++
 		t.markDirty(s.job)
-		before := s.crash
-		s.crash.Alone = true
-		s.task.evidence.Correct(before, s.crash, chance)
+		s.trial.Crash.Alone, s.trial.Chance = true, chance
+		s.task.addEvidence(s.trial)
 		if s.deadly() {
 			t.failCrashingJob(*s)
 		}
@@ -343,7 +358,7 @@
 		}
 	}
 	k.openCrashes = nil
-	k.crashes, k.certain, k.evidence, k.prime = 0, 0, blame.Evidence{}, false
+	k.crashes, k.certain, k.evidence, k.prime = 0, 0, nil, false
 	j.suspect = false
 	j.each(func(_ workload.TaskID, _ *step, other *task) { j.suspect = j.suspect || other.prime })
 	t.markDirty(j)
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -37,7 +37,7 @@
 		s := t.jobs[j].occurrences[0].steps[0]
 		k := &s.tasks[0]
 		k.run++
-		k.state, k.worker, k.storedRun = taskPlaced, id, k.run
+		k.state, k.worker, k.storedRun, k.placedAt = taskPlaced, id, k.run, time.Now()
 		s.waiting--
 		r := workload.RunID{Task: workload.TaskID{Job: j}, Run: k.run}
 		w.add(r, s.spec)
@@ -79,6 +79,103 @@
 	}
 }
 
+// scheduledTerm is a term with a job of one task, three occurrences of which have begun.
+func scheduledTerm() (*Term, *job) {
+	now := time.Hour
+	t := loadedTerm(&now, workload.Queue{Name: "q", Service: "s"})
+	t.addJob(scheduledJob)
+	j := t.jobs[scheduledJob.ID]
+	j.addDue(scheduledJob.Repeat.Due(2))
+	return t, j
+}
+
+var scheduledJob = workload.Job{
+	ID: "a", Queue: workload.Queue{Name: "q", Service: "s"}, Steps: []workload.Step{{Count: 1}},
+	Repeat: workload.Repeat{Count: 8, Interval: 1},
+}
+
+// crashOccurrences places a run of each occurrence's task on one new worker, which
+// crashes.
+func (t *Term) crashOccurrences(id workload.WorkerID, occurrences ...*occurrence) {
+	w := newWorker(id, "node")
+	t.workers[id] = w
+	fresh := map[workload.RunID]dispatch.SuspectRun{}
+	for _, o := range occurrences {
+		s := o.steps[0]
+		k := &s.tasks[0]
+		k.run++
+		k.state, k.worker, k.storedRun, k.placedAt = taskPlaced, id, k.run, time.Now()
+		s.waiting--
+		r := workload.RunID{Task: workload.TaskID{Job: scheduledJob.ID, Occurrence: o.number}, Run: k.run}
+		w.add(r, s.spec)
+		fresh[r] = dispatch.SuspectRun{Run: r, Begun: true, Soon: true, Last: true}
+	}
+	t.removeWorker(id, workerLoss{judged: true, fresh: fresh})
+}
+
+// Failure guarded against: one crash of a worker fails a scheduled job whose
+// occurrences overlap there, or a job that crashes its workers in each occurrence is
+// never failed.
+func TestCrashUnderSeveralOccurrencesCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term, j := scheduledTerm()
+		for n, want := range []workload.State{workload.Queued, workload.Queued, workload.Failed} {
+			time.Sleep(time.Second)
+			term.crashOccurrences(workload.WorkerID(rune('0'+n)), j.occurrences...)
+			if j.state != want {
+				t.Errorf("after %d crashes the job is %s, want %s", n+1, j.state, want)
+			}
+		}
+		term, j = scheduledTerm()
+		for n, o := range j.occurrences {
+			time.Sleep(time.Second)
+			term.crashOccurrences(workload.WorkerID(rune('0'+n)), o)
+		}
+		if j.state.Final() {
+			t.Errorf("after a crash under each of three occurrences the job is %s", j.state)
+		}
+		time.Sleep(time.Second)
+		term.crashOccurrences("3", j.occurrences[0])
+		if j.state != workload.Failed {
+			t.Errorf("after the second crash under one of three occurrences the job is %s", j.state)
+		}
+	})
+}
+
+// Failure guarded against: a new scheduler counts a crash once for each occurrence
+// whose row tells of it, or again for a run on the crashed worker that is still in a row.
+func TestCrashUnderSeveralOccurrencesCountsOnceAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term, j := scheduledTerm()
+		term.crashOccurrences("x", j.occurrences[:2]...)
+		third := &j.occurrences[2].steps[0].tasks[0]
+		third.run, third.state, third.worker, third.agent = 1, taskPlaced, "x", "node"
+		row := j.row()
+
+		term, _ = scheduledTerm()
+		j = newJob(scheduledJob)
+		term.jobs[scheduledJob.ID] = j
+		j.restore(row, time.Now())
+		time.Sleep(time.Second)
+		o := j.occurrences[2]
+		r := workload.RunID{Task: workload.TaskID{Job: scheduledJob.ID, Occurrence: 2}, Run: 1}
+		w := newWorker("x", "node")
+		term.workers["x"] = w
+		w.add(r, o.steps[0].spec)
+		term.removeWorker("x", workerLoss{judged: true, fresh: map[workload.RunID]dispatch.SuspectRun{r: {Run: r, Begun: true, Last: true}}})
+		time.Sleep(time.Second)
+		term.crashOccurrences("y", j.occurrences...)
+		if j.state.Final() {
+			t.Errorf("the job is %s after two crashes, one before the takeover", j.state)
+		}
+		time.Sleep(time.Second)
+		term.crashOccurrences("z", j.occurrences...)
+		if j.state != workload.Failed {
+			t.Errorf("the job is %s after three crashes, one before the takeover", j.state)
+		}
+	})
+}
+
 // Guards against a task that crashes many workers before its job is failed,
 // although it was the last to start on each of them.
 func TestPrimeSuspectFailsAfterFewCrashes(t *testing.T) {
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -70,12 +70,12 @@
 	failedAt time.Duration
 	// crashes counts the workers that the task may have crashed since one of its
 	// runs was last done or proven (see crash.go). certain counts the crashes that
-	// no other job can have caused, evidence weighs all of them. The latest of these
-	// workers was on the machine crashedOn. prime says that the task is a prime
-	// suspect of the latest crash (see markPrime).
+	// no other job can have caused, evidence weighs all of them (nil: none). The
+	// latest of these workers was on the machine crashedOn. prime says that the task
+	// is a prime suspect of the latest crash (see markPrime).
 	crashes   int
 	certain   int
-	evidence  blame.Evidence
+	evidence  *blame.Evidence
 	crashedOn string
 	prime     bool
 	// openCrashes are the crashes that the task is suspected of.
@@ -402,7 +402,10 @@
 		if !checkpointFits(t.checkpoint) {
 			t.checkpoint = ""
 		}
-		t.crashes, t.certain, t.evidence = tr.Crashes, tr.Certain, blame.Former(tr.Certain)
+		t.crashes, t.certain = tr.Crashes, tr.Certain
+		if tr.Certain > 0 {
+			t.evidence = blame.Former(tr.Certain)
+		}
 		t.restoreTimes(tr, sr, accepted)
 		if s.spec.Lasting {
 			t.couldStart = now
--- a/entry/scheduler/plan.go
+++ b/entry/scheduler/plan.go
@@ -289,9 +289,9 @@
 	k.state = taskPlaced
 	k.run = run
 	k.agent, k.worker = w.agent, w.id
-	k.placedAt = time.Now()
+	k.placedAt, k.fromEarlierTerm = time.Now(), false
 	if t.forecaster != nil {
-		k.placedStore, k.fromEarlierTerm = t.storeNow(), false
+		k.placedStore = t.storeNow()
 	}
 	k.ordered, k.stopping = false, false
 	k.presentAt = 0
--- a/sessions/machines/verdicts_test.go
+++ b/sessions/machines/verdicts_test.go
@@ -11,6 +11,8 @@
 
 // verdicts counts the judgements on tasks that may have crashed their workers.
 type verdicts struct {
+	// scheduled says that the jobs that end have several overlapping occurrences.
+	scheduled       bool
 	days, unrelated int
 	// innocent counts the jobs without a deadly task, wronged those of them that were
 	// failed, or of whose lasting tasks one was contained.
@@ -43,22 +45,43 @@
 				for i := range max(1, *seeds/8) {
 					v.playDay(t, *firstSeed+uint64(i), rate.interval, deadly)
 				}
-				t.Logf("%+v", v)
-				if v.missed > 0 {
-					t.Errorf("%d of %d deadly jobs are neither failed nor contained", v.missed, v.deadly)
-				}
-				most := rate.wronged
-				if rate.share > 0 {
-					most += v.innocent / rate.share
-				}
-				if v.wronged > most {
-					t.Errorf("%d of %d innocent jobs are failed or contained", v.wronged, v.innocent)
+				v.check(t, rate.wronged, rate.share)
+			})
+		}
+	}
+}
+
+// Failure guarded against: a crash counts once for each overlapping occurrence of a
+// scheduled job, so that crashes with other causes fail the job.
+func TestVerdictsOnScheduledJobs(t *testing.T) {
+	for _, rate := range baseRates {
+		for _, deadly := range []float64{0, 1.0 / 8} {
+			t.Run(fmt.Sprintf("%v/%v", rate.interval, deadly > 0), func(t *testing.T) {
+				v := verdicts{scheduled: true}
+				for i := range max(1, *seeds/8) {
+					v.playDay(t, *firstSeed+uint64(i), rate.interval, deadly)
 				}
+				v.check(t, rate.wronged, rate.share)
 			})
 		}
 	}
 }
 
+// check checks the verdicts: at most wronged innocent jobs may be wronged, and one more
+// in each share of them if share is set.
+func (v *verdicts) check(t *testing.T, wronged, share int) {
+	t.Logf("%+v", *v)
+	if v.missed > 0 {
+		t.Errorf("%d of %d deadly jobs are neither failed nor contained", v.missed, v.deadly)
+	}
+	if share > 0 {
+		wronged += v.innocent / share
+	}
+	if v.wronged > wronged {
+		t.Errorf("%d of %d innocent jobs are failed or contained", v.wronged, v.innocent)
+	}
+}
+
 // playDay simulates a minute of jobs, of which the given share is deadly.
 func (v *verdicts) playDay(t *testing.T, seed uint64, interval time.Duration, share float64) {
 	const jobs = 60
@@ -78,6 +101,9 @@
 		var ending, lasting []workload.Job
 		for n := range jobs {
 			j := job(n, 1+rng.IntN(6))
+			if v.scheduled {
+				j.Repeat = workload.Repeat{Count: 4, First: time.Now().UnixMilli(), Interval: 250}
+			}
 			if rng.IntN(8) == 0 {
 				j = lastingJob(n, 1+rng.IntN(3))
 			}
