--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -163,9 +163,7 @@
 		}
 	}
 	v := verdict{odds: math.Log(deadlyBefore / (1 - deadlyBefore))}
-	for range former {
-		v.add(Crash{Confirmed: true, Alone: true}.Weight(formerChance))
-	}
+	v.confirmed, v.odds = former, v.odds+float64(former)*Crash{Confirmed: true, Alone: true}.Weight(formerChance)
 	for _, t := range chain {
 		v.add(t.Crash.Weight(t.Chance))
 	}
--- a/entry/scheduler/counters.go
+++ b/entry/scheduler/counters.go
@@ -46,6 +46,9 @@
 	// SetApart counts writes that the store has refused for good, and that were left
 	// out of their transactions.
 	SetApart atomic.Int64
+	// RowsRejected counts the rows that were read and not used, since they could not
+	// be decoded or held impossible values.
+	RowsRejected atomic.Int64
 	// Retired counts the jobs whose rows were deleted.
 	Retired atomic.Int64
 	// FirstStart is the time from a job's acceptance to its first placement,
@@ -110,7 +113,7 @@
 		"terms": c.Terms.Load(), "jobs": c.Jobs.Load(), "jobs_ended": c.JobsEnded.Load(), "placements": c.Placements.Load(),
 		"ends": c.Ends.Load(), "void": c.Void.Load(), "lost": c.Lost.Load(), "relocated": c.Relocated.Load(), "regrouped": c.Regrouped.Load(), "rescued": c.Rescued.Load(),
 		"rebalanced": c.Rebalanced.Load(), "restarted": c.Restarted.Load(),
-		"suspected": c.Suspected.Load(), "drained": c.Drained.Load(), "returned": c.Returned.Load(), "drains": c.drains(),
+		"suspected": c.Suspected.Load(), "rows_rejected": c.RowsRejected.Load(), "drained": c.Drained.Load(), "returned": c.Returned.Load(), "drains": c.drains(),
 		"laid_out": c.LaidOut.Load(), "passed_over_ms": c.PassedOver.figures(),
 		"blamed": c.Blamed.Load(), "quarantined": c.Quarantined.Load(), "given_up": c.GivenUp.Load(), "contained": c.Contained.Load(),
 		"placed_first": c.PlacedFirst.Load(), "starved": c.Starved.Load(), "placed_paced": c.PlacedPaced.Load(),
--- a/entry/scheduler/earliergrants.go
+++ b/entry/scheduler/earliergrants.go
@@ -75,8 +75,12 @@
 			continue
 		}
 		var ends leaseEndsRow
-		if err := decode(row, &ends); err != nil {
-			t.deps.Log.Error().Err(err).Msg("row of lease ends can't be decoded")
+		err := decode(row, &ends)
+		if err == nil {
+			err = ends.check()
+		}
+		if err != nil {
+			t.rejectRow(row, err)
 			continue
 		}
 		t.earlier.restore(ends)
--- a/entry/scheduler/forecastrow.go
+++ b/entry/scheduler/forecastrow.go
@@ -43,7 +43,7 @@
 	}
 	var r runtimesRow
 	if err := decode(row, &r); err != nil {
-		t.deps.Log.Error().Err(err).Msg("learnt run times can't be decoded; learning starts anew")
+		t.rejectRow(row, err)
 		return
 	}
 	c.runtimes, c.errors = r.Runtimes, r.Errors
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -387,7 +387,7 @@
 
 func (s *step) restore(sr stepRow, workers []workerRef, accepted int64, now time.Time) {
 	for i := range s.tasks {
-		if n := i - sr.From; n >= 0 && n/8 < len(sr.Done) && sr.Done[n/8]&(1<<(n%8)) != 0 {
+		if sr.isDone(i) {
 			s.tasks[i].state = taskDone
 			s.done++
 			s.waiting--
--- a/entry/scheduler/learntrow.go
+++ b/entry/scheduler/learntrow.go
@@ -57,7 +57,7 @@
 func (t *Term) restoreLearnt(row rowstore.Row) {
 	var r learntRow
 	if err := decode(row, &r); err != nil {
-		t.deps.Log.Error().Err(err).Msg("learnt weights can't be decoded; learning starts anew")
+		t.rejectRow(row, err)
 		return
 	}
 	var all []pressure.PairEstimate
--- a/entry/scheduler/learntrow_test.go
+++ b/entry/scheduler/learntrow_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"persimmonrock.example/decide/pressure"
 	"persimmonrock.example/infra/rowstore"
+	"persimmonrock.example/ops/logs"
 )
 
 // The scheduling entry is killed, and another takes over. Without the learnt
@@ -15,7 +18,7 @@
 func TestLearntWeightsSurviveTakeover(t *testing.T) {
 	now := time.Minute
 	term := func() *Term {
-		x := &Term{deps: Deps{Now: func() time.Duration { return now }}}
+		x := &Term{deps: Deps{Now: func() time.Duration { return now }, Counters: &Counters{}}, fleetLog: logs.NewBatch(zerolog.Nop())}
 		x.learner.initMaps()
 		return x
 	}
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -160,9 +160,9 @@
 			known.rowVersion = row.Version
 			continue
 		}
-		var j workload.Job
-		if err := decode(row, &j); err != nil {
-			t.deps.Log.Error().Err(err).Msg("job row can't be decoded")
+		j, err := decodeJob(row)
+		if err != nil {
+			t.rejectRow(row, err)
 			continue
 		}
 		delete(t.jobs, id)
@@ -186,7 +186,7 @@
 	id := workload.JobID(row.Key.Key)
 	var p progressRow
 	if err := decode(row, &p); err != nil {
-		t.deps.Log.Error().Err(err).Msg("progress row can't be decoded")
+		t.rejectRow(row, err)
 		return
 	}
 	j := t.jobs[id]
@@ -206,12 +206,16 @@
 		t.markDirty(j)
 		return
 	}
+	if err := p.check(&j.spec); err != nil {
+		t.rejectRow(row, err)
+		return
+	}
 	cancelled := j.state == workload.Cancelled
 	j.occurrences = nil
 	j.restore(p, now)
 	if p.Span > 0 {
 		if err := j.restoreParts(p, parts, now); err != nil {
-			t.deps.Log.Error().Err(err).Msg("part of a job's progress can't be decoded")
+			t.rejectRow(row, err)
 		}
 	}
 	if j.state != p.State || j.span == 0 && len(j.parts) > 0 {
@@ -332,7 +336,7 @@
 		}
 		a, err := dispatch.DecodeAgentRow(row)
 		if err != nil {
-			t.deps.Log.Error().Err(err).Msg("agent row can't be decoded")
+			t.rejectRow(row, err)
 			continue
 		}
 		if old != nil && old.link.Address() == a.Address {
--- a/entry/scheduler/parts.go
+++ b/entry/scheduler/parts.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"persimmonrock.example/infra/rowstore"
@@ -285,6 +286,9 @@
 		if err := decode(row, &p); err != nil {
 			return err
 		}
+		if err := p.check(&j.spec); err != nil {
+			return eris.Wrapf(err, "row %s/%s", row.Key.Table, row.Key.Key)
+		}
 		for _, or := range p.Occurrences {
 			j.restoreOccurrence(or, p.Workers, now)
 		}
--- a/structs/workload/job.go
+++ b/structs/workload/job.go
@@ -133,6 +133,9 @@
 	Cancelled State = "cancelled"
 )
 
+// Known reports whether the state is one of those above.
+func (s State) Known() bool { return s == Queued || s == Running || s.Final() }
+
 // Final reports whether the state never changes again.
 func (s State) Final() bool {
 	return s == Completed || s == Failed || s == Cancelled
