--- a/entry/scheduler/earliergrants_test.go
+++ b/entry/scheduler/earliergrants_test.go
@@ -13,7 +13,7 @@
 
 // observedLease returns an elector whose clock is now, and its watch of the lease.
 func observedLease(now *time.Duration) (*Elector, *observations) {
-	deps := Deps{Now: func() time.Duration { return *now }}
+	deps := Deps{Now: func() time.Duration { return *now }, Counters: &Counters{}}
 	return NewElector(Config{Node: "a", Grant: testGrant}, deps), &observations{}
 }
 
@@ -23,7 +23,7 @@
 	now := time.Minute
 	e, w := observedLease(&now)
 	read := func(version uint64) time.Duration {
-		_, _ = e.observe(w, rowstore.Row{Version: version})
+		_ = e.observe(w, rowstore.Row{Version: version})
 		return e.earlierGrants(w, leaseRow{Node: "b"}).end
 	}
 	first := read(7)
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -155,15 +155,15 @@
 			continue
 		}
 		o.readTime = e.deps.Now() - asked
-		lease, ok := e.observe(&o, row)
-		if ok && e.shouldTake(ctx, &o, lease, q) {
+		lease := e.observe(&o, row)
+		if e.shouldTake(ctx, &o, lease, q) {
 			if term := e.acquire(ctx, row, e.earlierGrants(&o, lease)); term != nil {
 				e.serve(ctx, term)
 				o = observations{}
 				continue
 			}
 		}
-		if ok && e.requestLease(ctx, &o, lease) {
+		if e.requestLease(ctx, &o, lease) {
 			o.successorUntil = e.deps.Now() + successorWait
 		}
 		wait.For(ctx, o.pause(e.deps.Now()))
@@ -184,19 +184,25 @@
 	}
 }
 
-// observe records one read. It returns false if the row can't be decoded.
-func (e *Elector) observe(o *observations, row rowstore.Row) (leaseRow, bool) {
+// observe records one read. A row that can't be decoded names no holder: no process
+// can renew the lease by it, or one of another version does, which changes the row.
+// So it counts as the lease of an unknown process, and the known leader stays.
+func (e *Elector) observe(o *observations, row rowstore.Row) leaseRow {
+	changed := row.Version != o.version
 	o.record(row.Version, e.deps.Now())
 	var lease leaseRow
 	if row.Version == 0 {
-		return lease, true
+		return lease
 	}
 	if err := json.Unmarshal(row.Value, &lease); err != nil {
-		e.deps.Log.Error().Err(err).Msg("lease row can't be decoded")
-		return lease, false
+		if changed {
+			e.deps.Counters.RowsRejected.Add(1)
+			e.deps.Log.Error().Err(err).Uint64("version", row.Version).Msg("lease row not used: it can't be decoded")
+		}
+		return leaseRow{}
 	}
 	e.setLeader(lease, row.Version)
-	return lease, true
+	return lease
 }
 
 // setLeader records the holder of the lease, and opens a link to a new holder.
@@ -253,7 +259,8 @@
 	if unchanged >= staleAfter {
 		return true
 	}
-	return e.holderGone(ctx, o, lease, q)
+	// A row without a process names no holder that could be asked.
+	return lease.Process != "" && e.holderGone(ctx, o, lease, q)
 }
 
 // holderGone awaits the holder's answer to q, or asks it if q went to another
