--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -65,6 +65,8 @@
 	stopping bool
 
 	incarnation *incarnation
+	// calledAt is when a scheduler last called Watch, or the process was registered.
+	calledAt time.Duration
 	// candidate is a worker that has not answered yet; it has reported, or the
 	// previous process found it.
 	candidate *workload.Worker
@@ -255,7 +257,9 @@
 // agent reports at once, and again after a second. If that first report were
 // lost while the agent registers, nothing would start there for a second.
 func (r *Runner) Registered(token uint64, before workload.Worker) {
-	r.token = token
+	r.mu.Lock()
+	r.token, r.calledAt = token, r.deps.Now()
+	r.mu.Unlock()
 	r.suggest(before)
 }
 
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -15,6 +15,7 @@
 	defer timer.Stop()
 	r.mu.Lock()
 	refused := r.acceptClaim(args.Claim)
+	r.calledAt = r.deps.Now()
 	if refused == dispatch.RefusedProcess {
 		// The caller does not know this process yet: the reply holds the
 		// whole state, and the claim grants nothing.
@@ -46,6 +47,24 @@
 }
 
 // acknowledge drops stored ends, and void runs that the caller has read.
+// uncalledFor is the time since a scheduler last called Watch, or since the process
+// was registered.
+func (r *Runner) uncalledFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.deps.Now() - r.calledAt
+}
+
+// knownWorker returns the present worker, or none.
+func (r *Runner) knownWorker() workload.Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.incarnation == nil {
+		return workload.Worker{}
+	}
+	return r.incarnation.worker
+}
+
 func (r *Runner) acknowledge(args dispatch.WatchArgs) {
 	inc := r.incarnation
 	if inc == nil {
--- a/cmd/machine/agent.go
+++ b/cmd/machine/agent.go
@@ -9,6 +9,7 @@
 	"persimmonrock.example/agent/runner"
 	"persimmonrock.example/platform/store"
 	"persimmonrock.example/platform/worker"
+	"persimmonrock.example/wire/dispatch"
 )
 
 // RunAgent runs an agent with the settings of the machine until SIGTERM or
@@ -40,7 +41,8 @@
 	ctx, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	registration := runner.Registration{
-		Store: store.New(p.settings.StoreAddress), Node: p.settings.Node, Address: p.peerAddress(), Log: p.log,
+		Store: store.New(p.settings.StoreAddress), Node: p.settings.Node, Address: p.peerAddress(),
+		CheckAddress: dispatch.CheckAddress, Log: p.log,
 	}
 	r := runner.New(runner.Config{MaxLease: p.settings.Bounds.MaxLease, MaxReportAge: p.settings.Bounds.Contact}, runner.Deps{
 		Control: worker.NewControl(p.settings.WorkerAddress), Log: p.log, Now: sinceBoot, Found: registration.Record,
@@ -62,6 +64,7 @@
 	}
 	p.serveMetrics(map[string]func() any{"agent": func() any { return r.Counters() }})
 	p.log.Info().Uint64("token", token).Str("peers", p.peerAddress()).Str("worker", p.settings.WorkerAddress).Msg("agent started")
+	go registration.Maintain(stop, r)
 	go func() {
 		<-stop.Done()
 		r.Stop(ctx, p.settings.Bounds.Grace-stopReserve)
--- a/cmd/machine/entry.go
+++ b/cmd/machine/entry.go
@@ -78,7 +78,7 @@
 		Node: p.settings.Node, Process: rand.Text(), Address: p.peerAddress(), Power: p.settings.Cores,
 		Grant: time.Duration(grantShare * float64(p.settings.Bounds.MaxLease)), StatusFor: p.settings.Bounds.Status, RowBytes: p.settings.RowBytes,
 		Policies: p.policies, MoveCosts: scheduler.MoveCosts{Stop: p.settings.Bounds.Stop, Restore: p.settings.Bounds.Restore},
-	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Drains: config.Drains, Link: dispatch.NewLink, Policy: p.advisor(), Counters: counters, FreeMemory: newMemoryGauge(p.settings.MemoryBytes).free})
+	}, scheduler.Deps{Store: rows, Log: p.log, Now: sinceBoot, Config: config.Current, Drains: config.Drains, Link: dispatch.NewLink, CheckAddress: dispatch.CheckAddress, Policy: p.advisor(), Counters: counters, FreeMemory: newMemoryGauge(p.settings.MemoryBytes).free})
 	service := intake.New(rows, config, elector, clock, p.log)
 	server := rpc.NewServer()
 	if err := server.RegisterName("Scheduler", &scheduler.Service{Elector: elector}); err != nil {
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -335,6 +335,9 @@
 			continue
 		}
 		a, err := dispatch.DecodeAgentRow(row)
+		if err == nil && t.deps.CheckAddress != nil {
+			err = t.deps.CheckAddress(a.Address)
+		}
 		if err != nil {
 			t.rejectRow(row, err)
 			continue
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -62,6 +62,9 @@
 	Drains func() (workload.Drains, time.Duration)
 	// Link opens a link to the process at an address.
 	Link func(address string) *dispatch.Link
+	// CheckAddress returns an error for an address that no process can have; nil
+	// accepts all but the empty one.
+	CheckAddress func(address string) error
 	// Policy names the permitted workers of some queues; nil without a policy
 	// service.
 	Policy policy.Advisor
--- a/sessions/machines/agent.go
+++ b/sessions/machines/agent.go
@@ -149,6 +149,7 @@
 		a.server = sim.listen(a.Node, server)
 	}
 	a.mu.Unlock()
+	go registration.Maintain(ctx, r)
 	r.Run(ctx)
 }
 
--- a/sessions/machines/oddrows_test.go
+++ b/sessions/machines/oddrows_test.go
@@ -7,6 +7,7 @@
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/infra/rowstore/oddvalue"
 	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
 )
 
 // overwrite puts a value of another writer into the store.
@@ -14,6 +15,13 @@
 	must(sim.Store.ApplyNow(rowstore.Txn{Puts: []rowstore.Put{{Key: key, Value: value}}}))
 }
 
+// spreadJob is a lasting job with one task on each of n workers.
+func spreadJob(number, n int) workload.Job {
+	j := lastingJob(number, n)
+	j.Steps[0].Spread = 1
+	return j
+}
+
 // Failure guarded against: no entry schedules any more once another writer has
 // replaced the row of the scheduler's lease.
 func TestOddLeaseRowIsReplaced(t *testing.T) {
@@ -41,3 +49,29 @@
 	}
 }
 
+// Failure guarded against: a worker stands idle for good once another writer has
+// replaced its agent's row, at once or with the next scheduler.
+func TestOddAgentRowIsWrittenAgain(t *testing.T) {
+	const machines, repair = 4, 30 * second
+	for _, v := range append(oddvalue.Whole(), oddvalue.Value{Name: "no address", Text: []byte(`{"a":""}`)}) {
+		t.Run(v.Name, func(t *testing.T) {
+			simulate(t, Options{Entries: 2, Machines: machines}, func(t *testing.T, sim *Simulation, c *Client) {
+				submit(t, c, spreadJob(1, machines))
+				awaitRunning(t, sim.Agents(), machines)
+				sim.overwrite(dispatch.AgentKey(sim.Agents()[0].Node), v.Text)
+				time.Sleep(5 * second)
+				if took := awaitRunning(t, sim.Agents(), machines); took > 0 {
+					t.Errorf("a task was lost beside the odd row; it runs again %v later", took)
+				}
+				leader := sim.Leader()
+				leader.Kill()
+				time.Sleep(second)
+				leader.Start()
+				time.Sleep(10 * second)
+				if took := awaitRunning(t, sim.Agents(), machines); took > repair {
+					t.Errorf("after a takeover, the worker stands idle for %v", took)
+				}
+			})
+		})
+	}
+}
--- a/wire/dispatch/agentrow.go
+++ b/wire/dispatch/agentrow.go
@@ -58,6 +58,11 @@
 	if r.Version == 0 {
 		return a, nil
 	}
-	err := json.Unmarshal(r.Value, &a)
-	return a, eris.Wrapf(err, "decode agent row %s", r.Key.Key)
+	if err := json.Unmarshal(r.Value, &a); err != nil {
+		return AgentRow{}, eris.Wrapf(err, "decode agent row %s", r.Key.Key)
+	}
+	if a.Address == "" {
+		return AgentRow{}, eris.Errorf("agent row %s has no address", r.Key.Key)
+	}
+	return a, nil
 }
