--- a/agent/runner/hold.go
+++ b/agent/runner/hold.go
@@ -87,7 +87,7 @@
 		r.endIncarnation("a new incarnation has started")
 	}
 	r.counters.Lives++
-	r.incarnation = &incarnation{id: w.ID, worker: *r.candidate, sequence: r.candidateSeq, reportedAt: r.candidateAt, foundAt: r.deps.Now(), runs: map[workload.RunID]*run{}}
+	r.incarnation = &incarnation{id: w.ID, worker: *r.candidate, order: r.candidateOrder, reportedAt: r.candidateAt, foundAt: r.deps.Now(), runs: map[workload.RunID]*run{}}
 	r.candidate = nil
 	r.incarnation.changed = r.recordChange(true)
 	r.deps.Log.Info().Str("worker", string(w.ID)).Int("running", len(listing.Running)).Int("ended", len(listing.Ended)).
@@ -145,6 +145,7 @@
 		if r.candidate != nil && r.candidate.ID == id {
 			r.candidate = nil
 		}
+		r.disproveReborn(id, err)
 		r.mu.Unlock()
 		r.deps.Log.Info().Err(err).Str("worker", string(id)).Msg("unconfirmed worker is gone or refused to list its runs")
 		return
--- a/agent/runner/reborn.go
+++ b/agent/runner/reborn.go
@@ -47,6 +47,21 @@
 	return former != "" && former != id && former.Instance() == id.Instance()
 }
 
+// disproveReborn withdraws the report of a new life if the present one has answered
+// in its place. The caller holds mu.
+//
+// Guards against one report with a false start time, after which nothing starts on a
+// living worker any more.
+func (r *Runner) disproveReborn(claimed workload.WorkerID, err error) {
+	var other *workerctl.RebornError
+	inc := r.incarnation
+	if !errors.As(err, &other) || inc == nil || !inc.replaced || other.Worker != inc.id {
+		return
+	}
+	inc.replaced = false
+	r.deps.Log.Warn().Str("worker", string(inc.id)).Str("reported", string(claimed)).Msg("worker still answers; the report of its next life is not used")
+}
+
 // proposeReborn makes the life that has answered in place of inc the candidate.
 // Its capacity is not known before it reports. The caller holds mu.
 func (r *Runner) proposeReborn(inc *incarnation, id workload.WorkerID) {
@@ -56,7 +71,7 @@
 	}
 	w := inc.worker
 	w.ID, w.Draining = id, false
-	r.candidate, r.candidateSeq, r.candidateAt = &w, 0, 0
+	r.candidate, r.candidateOrder, r.candidateAt = &w, reportOrder{}, 0
 }
 
 // stopFormerOrders voids the orders to the former life of a worker that is the
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -70,8 +70,8 @@
 	// candidate is a worker that has not answered yet; it has reported, or the
 	// previous process found it.
 	candidate *workload.Worker
-	// candidateSeq is the number of the candidate's latest report.
-	candidateSeq uint64
+	// candidateOrder is the order of the candidate's reports.
+	candidateOrder reportOrder
 	// candidateAt is that report's arrival time; 0 if this process got none.
 	candidateAt time.Duration
 	// suggested is the worker that the previous process had found, if any.
@@ -114,8 +114,8 @@
 	// id never changes and is read without the lock.
 	id     workload.WorkerID
 	worker workload.Worker
-	// sequence is the number of the latest report.
-	sequence uint64
+	// order is the order of the reports.
+	order reportOrder
 	// reportedAt is the arrival time of the latest report; 0 if there was none.
 	// stale says that the report was too old at the last check.
 	reportedAt time.Duration
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"persimmonrock.example/structs/workload"
@@ -14,8 +15,8 @@
 	timer := time.NewTimer(args.Wait)
 	defer timer.Stop()
 	r.mu.Lock()
-	refused := r.acceptClaim(args.Claim)
 	r.calledAt = r.deps.Now()
+	refused := r.acceptClaim(args.Claim)
 	if refused == dispatch.RefusedProcess {
 		// The caller does not know this process yet: the reply holds the
 		// whole state, and the claim grants nothing.
@@ -46,7 +47,6 @@
 	return r.report(args.Since)
 }
 
-// acknowledge drops stored ends, and void runs that the caller has read.
 // uncalledFor is the time since a scheduler last called Watch, or since the process
 // was registered.
 func (r *Runner) uncalledFor() time.Duration {
@@ -65,6 +65,7 @@
 	return r.incarnation.worker
 }
 
+// acknowledge drops stored ends, and void runs that the caller has read.
 func (r *Runner) acknowledge(args dispatch.WatchArgs) {
 	inc := r.incarnation
 	if inc == nil {
@@ -143,10 +144,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if inc := r.incarnation; inc != nil && inc.id == w.ID {
-		if inc.reportedAt > 0 && sequence <= inc.sequence {
+		now := r.deps.Now()
+		if inc.reportedAt > 0 && !inc.order.isNext(sequence, now) {
+			if inc.order.recounts() {
+				inc.reportedAt = now
+			}
 			return
 		}
-		inc.sequence, inc.reportedAt = sequence, r.deps.Now()
+		inc.order.accept(sequence)
+		inc.reportedAt = now
 		if inc.worker.Draining && !w.Draining {
 			w.Draining = true
 		}
@@ -163,14 +169,24 @@
 			return
 		}
 	}
-	if r.candidate != nil && r.candidate.ID == w.ID && r.candidateAt > 0 && sequence <= r.candidateSeq {
-		return
+	order := reportOrder{}
+	if r.candidate != nil && r.candidate.ID == w.ID {
+		if order = r.candidateOrder; r.candidateAt > 0 && !order.isNext(sequence, r.deps.Now()) {
+			r.candidateOrder = order
+			return
+		}
 	}
-	if r.incarnation != nil && r.isReborn(w.ID) && w.ID.Born() > r.incarnation.id.Born() {
-		r.incarnation.replaced = true
+	order.accept(sequence)
+	if inc := r.incarnation; inc != nil && r.isReborn(w.ID) {
+		if inc.id.Born() == 0 {
+			// Workers that do not tell the start of their life never keep their identifier.
+			r.countUnreadable(errOddLife)
+			return
+		}
+		inc.replaced = inc.replaced || w.ID.Born() > inc.id.Born()
 	}
 	r.candidate = &w
-	r.candidateSeq, r.candidateAt = sequence, r.deps.Now()
+	r.candidateOrder, r.candidateAt = order, r.deps.Now()
 	r.wakeHold()
 }
 
@@ -183,7 +199,7 @@
 	defer r.mu.Unlock()
 	r.suggested = w.ID
 	if r.incarnation == nil && r.candidate == nil {
-		r.candidate, r.candidateSeq, r.candidateAt = &w, 0, 0
+		r.candidate, r.candidateOrder, r.candidateAt = &w, reportOrder{}, 0
 		r.wakeHold()
 	}
 }
@@ -209,14 +225,20 @@
 	return worker == id || id.Born() == 0 && worker.Instance() == string(id)
 }
 
+var errOddLife = errors.New("report of another life under the identifier of a worker that tells no start time")
+
 // Unreadable counts a report that could not be decoded. The report names no
 // usable worker, so the state stays as it is.
 func (r *Runner) Unreadable(err error) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.countUnreadable(err)
+}
+
+// countUnreadable counts a report that is not used. The caller holds mu.
+func (r *Runner) countUnreadable(err error) {
 	r.counters.Unreadable++
-	first := r.counters.Unreadable == 1
-	r.mu.Unlock()
-	if first {
+	if r.counters.Unreadable == 1 {
 		r.deps.Log.Warn().Err(err).Msg("unreadable worker report; further ones are only counted")
 	}
 }
--- a/sessions/machines/oddrows_test.go
+++ b/sessions/machines/oddrows_test.go
@@ -75,3 +75,48 @@
 		})
 	}
 }
+
+// Failure guarded against: one odd report of another writer under a worker's identifier
+// makes its agent drop the worker's own reports, or take it for replaced.
+func TestOddReportLeavesTheWorkerInUse(t *testing.T) {
+	const machines = 4
+	for _, c := range []struct {
+		name   string
+		number uint64
+		born   int64
+		keep   bool
+	}{
+		{"the largest number", 1<<64 - 1, 0, false}, {"a high number", 4000000000, 0, false}, {"a number soon reached", 100, 0, false},
+		{"a start time of a worker that tells none", 5, 1 << 53, false},
+		{"the largest number, where lives share an identifier", 1<<64 - 1, 0, true},
+		{"a late start time", 5, 1 << 53, true}, {"no start time", 5, -1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulate(t, Options{Entries: 2, Machines: machines, KeepInstances: c.keep}, func(t *testing.T, sim *Simulation, client *Client) {
+				time.Sleep(3 * second)
+				for _, a := range sim.Agents() {
+					info, _ := a.Worker().Info()
+					switch {
+					case c.born > 0:
+						info.ID = workload.NewWorkerID(info.ID.Instance(), c.born)
+					case c.born < 0:
+						info.ID = workload.WorkerID(info.ID.Instance())
+					}
+					a.mu.Lock()
+					a.runner.Reported(info, c.number)
+					a.mu.Unlock()
+				}
+				time.Sleep(10 * second)
+				submit(t, client, job(1, 8))
+				client.Await([]workload.JobID{JobID(1)}, 5*second)
+				if s := client.State(JobID(1)); s != workload.Completed {
+					t.Errorf("the job is %s", s)
+				}
+				submit(t, client, spreadJob(2, machines))
+				if took := awaitRunning(t, sim.Agents(), machines); took > 3*second {
+					t.Errorf("the tasks run on all workers after %v", took)
+				}
+			})
+		})
+	}
+}
