--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -95,6 +95,20 @@
 	e.trials = append(e.trials, t)
 }
 
+// Withdraw removes the trial on a worker that has not crashed, and reports whether
+// there was one. A nil e has none.
+func (e *Evidence) Withdraw(worker string) bool {
+	if e == nil {
+		return false
+	}
+	i := e.find(worker)
+	if i < 0 {
+		return false
+	}
+	e.trials = slices.Delete(e.trials, i, i+1)
+	return true
+}
+
 func (e *Evidence) find(worker string) int {
 	return slices.IndexFunc(e.trials, func(t Trial) bool { return t.Worker == worker })
 }
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -268,6 +268,18 @@
 	}
 }
 
+// withdrawLoss withdraws the loss of a worker that was only unreachable: it answers
+// again, so no task has crashed it.
+func (t *Term) withdrawLoss(w *worker) {
+	for _, s := range w.suspects {
+		if s.task.evidence.Withdraw(string(w.id)) {
+			s.task.crashes--
+			t.markDirty(s.job)
+		}
+	}
+	w.suspects = nil
+}
+
 // markPrime marks the prime suspects of a crash: of the runs that were the last
 // to start on the worker, those whose tasks were suspected most often before. A
 // task that crashes its workers does so within moments of its start, and again
--- a/entry/scheduler/crash_test.go
+++ b/entry/scheduler/crash_test.go
@@ -176,6 +176,35 @@
 	})
 }
 
+// Failure guarded against: workers that were unreachable for a while count as crashed by
+// the tasks that had just begun there, though they answer again, and the job is failed.
+func TestUnreachableWorkersThatAnswerAgainAreNoCrashes(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		term := crashTerm("a")
+		j := term.jobs["a"]
+		s := j.occurrences[0].steps[0]
+		k := &s.tasks[0]
+		for n := range maxCrashes {
+			id := workload.WorkerID(rune('0' + n))
+			w := newWorker(id, "node-"+string(id))
+			w.link = &agentLink{term: term, node: w.agent, worker: w}
+			term.addWorker(w)
+			k.run++
+			k.state, k.worker, k.storedRun, k.placedAt = taskPlaced, id, k.run, time.Now()
+			s.waiting--
+			r := workload.RunID{Task: workload.TaskID{Job: "a"}, Run: k.run}
+			w.add(r, s.spec)
+			term.requeueRuns(w, workerLoss{judged: true, fresh: map[workload.RunID]dispatch.SuspectRun{r: {Run: r, Begun: true, Last: true}}})
+			if returns {
+				w.link.updateWorker(&dispatch.WatchReply{Listed: true, Worker: workload.Worker{ID: id, Service: "s"}})
+			}
+		}
+		if failed := j.state == workload.Failed; failed == returns {
+			t.Errorf("the workers return: %t; the job is %s, its task suspected of %d crashes", returns, j.state, k.crashes)
+		}
+	}
+}
+
 // Guards against a task that crashes many workers before its job is failed,
 // although it was the last to start on each of them.
 func TestPrimeSuspectFailsAfterFewCrashes(t *testing.T) {
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -309,7 +309,7 @@
 	w.alive = alive
 	if alive {
 		w.answeredAt = t.deps.Now()
-		w.suspects = nil
+		t.withdrawLoss(w)
 	}
 	return changed
 }
