--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -189,8 +189,17 @@
 	v.odds += weight
 }
 
+// over is when the worker of the trial was lost at the latest: a run is suspected for
+// suspectFor only, though the loss may be known later.
+func (t *Trial) over() time.Time {
+	if end := t.Began.Add(suspectFor); !t.Began.IsZero() && end.Before(t.Lost) {
+		return end
+	}
+	return t.Lost
+}
+
 // independent returns a longest sequence of confirmed trials, from latest back, each
-// of which was lost before the one after it began. One crash ends the runs of several
+// of which was over before the one after it began. One crash ends the runs of several
 // occurrences, and one failure may end several workers: trials that overlap may have
 // one cause.
 func independent(latest Trial, all []Trial) []Trial {
@@ -198,7 +207,7 @@
 	chain, next := []Trial{latest}, latest
 	for _, t := range all {
 		counted := slices.ContainsFunc(chain, func(c Trial) bool { return c.Worker == t.Worker })
-		if t.Crash.Confirmed && !counted && !t.Lost.After(next.Began) {
+		if t.Crash.Confirmed && !counted && !t.over().After(next.Began) {
 			chain, next = append(chain, t), t
 		}
 	}
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -105,7 +105,7 @@
 // once for each of them, or crashes of one task in several occurrences do not add up.
 func TestCrashOfSeveralOccurrencesCountsOnce(t *testing.T) {
 	alone := Crash{Confirmed: true, Alone: true}
-	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	at := func(halves int) time.Time { return time.Unix(1000, 0).Add(time.Duration(halves) * time.Second / 2) }
 	trial := func(worker string, began, lost int) *Evidence {
 		return evidence(Trial{Worker: worker, Began: at(began), Lost: at(lost), Chance: 0.003, Crash: alone})
 	}
@@ -130,6 +130,8 @@
 		{"three workers at once, known one after the other", trial("a", 2, 5), []*Evidence{trial("b", 0, 3), trial("c", 1, 4)}, false},
 		{"one occurrence after the other", trial("a", 4, 5), []*Evidence{trial("b", 0, 1), trial("c", 2, 3)}, false},
 		{"one after the other, and its own", join(0, trial("a", 0, 1), trial("b", 4, 5)), []*Evidence{trial("c", 2, 3)}, true},
+		{"by turns, each known late", join(0, trial("a", 4, 10), trial("c", 10, 16)), []*Evidence{join(0, trial("b", 0, 6), trial("d", 6, 12))}, true},
+		{"at once by turns", join(0, trial("a", 0, 6), trial("c", 8, 14)), []*Evidence{join(0, trial("b", 1, 7), trial("d", 9, 15))}, false},
 		{"two crashes under two occurrences each", trial("a", 2, 3), []*Evidence{join(0, trial("b", 0, 1), trial("a", 2, 3)), trial("b", 0, 1)}, false},
 		{"three crashes of its own, at once with others", join(0, trial("a", 0, 1), trial("b", 2, 3), trial("c", 4, 5)), []*Evidence{trial("d", 1, 6)}, true},
 		{"two former crashes of another occurrence, one of its own, and one", join(1, trial("a", 4, 5)), []*Evidence{Former(2)}, true},
