--- a/infra/rowstore/memstore/memstore.go
+++ b/infra/rowstore/memstore/memstore.go
@@ -4,8 +4,10 @@
 package memstore
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -207,6 +209,22 @@
 	return n
 }
 
+// RowsOf returns the rows of a table, whatever faults the store has.
+func (s *Store) RowsOf(table string) []rowstore.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []rowstore.Row
+	for _, row := range s.rows {
+		if row.Key.Table == table && !row.Deleted {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b rowstore.Row) int {
+		return cmp.Or(cmp.Compare(a.Key.Part, b.Key.Part), cmp.Compare(a.Key.Key, b.Key.Key))
+	})
+	return rows
+}
+
 // Client returns the store as the named client sees it.
 func (s *Store) Client(name string) rowstore.Store { return s.ClientWithIdleTimeout(name, defaultIdle) }
 
--- a/sessions/soak/faults_test.go
+++ b/sessions/soak/faults_test.go
@@ -99,12 +99,12 @@
 	}},
 }
 
-// injectFaults injects one fault after another until the given time; several
+// injectFaults injects one fault of the kinds after another until the given time; several
 // calls run concurrently.
-func (d *deployment) injectFaults(rng *rand.Rand, until time.Time) {
+func (d *deployment) injectFaults(rng *rand.Rand, kinds []fault, until time.Time) {
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(200+rng.IntN(1200)) * time.Millisecond)
-		f := pick(rng, faults)
+		f := pick(rng, kinds)
 		d.t.Logf("%s %s", time.Now().Format("05.000"), f.name)
 		d.rules.Cut()
 		stop := f.start(d, rng)
--- a/sessions/soak/process_test.go
+++ b/sessions/soak/process_test.go
@@ -12,7 +12,11 @@
 	"persimmonrock.example/platform/standin"
 )
 
-const processRestartDelay = 300 * time.Millisecond
+const (
+	processRestartDelay = 300 * time.Millisecond
+	// panicStatus is the exit status of a program that panics.
+	panicStatus = 2
+)
 
 // process is one program on a simulated machine. It is restarted whenever it
 // exits, as on the users' machines.
@@ -70,6 +74,9 @@
 		p.cmd = cmd
 		p.mu.Unlock()
 		_ = cmd.Wait() // the signals sent and the log show why the process ended
+		if cmd.ProcessState.ExitCode() == panicStatus {
+			p.t.Errorf("%s ended by itself with a panic", p.Node)
+		}
 		p.mu.Lock()
 		p.exits++
 		p.mu.Unlock()
--- a/sessions/soak/soak_test.go
+++ b/sessions/soak/soak_test.go
@@ -72,13 +72,19 @@
 // run twice at a time or again after its end, no worker be overcommitted, no
 // accepted job be lost, and no unfinished job be shown as done.
 func TestSoak(t *testing.T) {
+	var beside []fault
+	if *odd {
+		beside = oddWriter
+	}
 	for n := range uint64(*seeds) {
 		seed := *firstSeed + n
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, beside) })
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) {
+// runSeed plays one seed. Faults of the kinds beside, if there are any, are injected
+// beside the others.
+func runSeed(t *testing.T, seed uint64, beside []fault) {
 	d := deploy(t, seed)
 	defer d.saveLogs()
 	d.awaitFirstJob()
@@ -91,7 +97,10 @@
 	until := time.Now().Add(*faultDuration)
 	var group sync.WaitGroup
 	for n := range uint64(*concurrentFaults) {
-		group.Go(func() { d.injectFaults(rand.New(rand.NewPCG(seed, n)), until) })
+		group.Go(func() { d.injectFaults(rand.New(rand.NewPCG(seed, n)), faults, until) })
+	}
+	if len(beside) > 0 {
+		group.Go(func() { d.injectFaults(rand.New(rand.NewPCG(seed, oddStream)), beside, until) })
 	}
 	var crashJobs []workload.JobID
 	group.Go(func() { crashJobs = d.submitCrashingJobs(until) })
