--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -230,7 +230,7 @@
 	lease.Epoch = t.epoch
 	full := rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
-		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
+		Puts:  []rowstore.Put{{Key: leaseKey}},
 	}
 	for _, g := range x {
 		full.Puts, full.Deletes = append(full.Puts, g.puts...), append(full.Deletes, g.deletes...)
@@ -239,6 +239,8 @@
 	pause := commitRetry
 	for t.ctx.Err() == nil {
 		sent := t.deps.Now()
+		lease.SentBy = t.storeTimeBound(sent)
+		full.Puts[0].Value = encode(lease)
 		// The answer is awaited even while the process stops: the release of the
 		// lease needs the version of the last transaction.
 		stamp, err := t.deps.Store.Apply(context.WithoutCancel(t.ctx), full)
@@ -276,7 +278,12 @@
 func ownVersion(conflict *rowstore.ConflictError, want leaseRow) uint64 {
 	row := conflict.Find(leaseKey)
 	var have leaseRow
-	if row.Version == 0 || json.Unmarshal(row.Value, &have) != nil || have != want {
+	if row.Version == 0 || json.Unmarshal(row.Value, &have) != nil {
+		return 0
+	}
+	// Attempts of one write differ in this only.
+	have.SentBy, want.SentBy = 0, 0
+	if have != want {
 		return 0
 	}
 	return row.Version
@@ -291,7 +298,14 @@
 	if at.Now == 0 {
 		t.deps.Counters.Unanswered.Add(1)
 	}
-	t.recordStoreTime(at)
+	t.recordStoreTime(at, sent)
+}
+
+// storeTimeBound bounds the store's clock at now from above, in ms.
+func (t *Term) storeTimeBound(now time.Duration) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.storeBound.boundMs(now)
 }
 
 // applyCommitted makes the stored states visible to clients and queues the
@@ -376,6 +390,7 @@
 	lease.Epoch = t.epoch
 	lease.Released = true
 	lease.Successor = t.successorNode()
+	lease.SentBy = t.storeTimeBound(t.deps.Now())
 	_, err := t.deps.Store.Apply(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
 		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}, {Key: leaseEndsKey, Value: t.leaseEndsValue()}},
--- a/entry/scheduler/earliergrants.go
+++ b/entry/scheduler/earliergrants.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
 )
 
@@ -22,13 +23,30 @@
 	releasedAt time.Duration
 }
 
+// boundSending bounds when the write of the lease row was sent, from an answer with
+// the row that arrived at now: the store's clock has gone on by at least the
+// difference since. Unlike a refused connection, which something on the way may have
+// sent in place of a process that runs on, this holds whatever became of the holder.
+// A clock that has jumped ahead does no more harm than to exclude the time since the
+// version before was seen.
+func (o *observations) boundSending(lease leaseRow, at rowstore.Stamp, now time.Duration) {
+	ago := at.Now - time.Duration(lease.SentBy)*time.Millisecond
+	if o.sentAfter == 0 || lease.SentBy <= 0 || at.Now <= 0 || ago <= 0 {
+		return
+	}
+	bound := max(o.sentAfter, now-time.Duration((1-clockDrift)*float64(ago)))
+	if o.sentBefore == 0 || bound < o.sentBefore {
+		o.sentBefore = bound
+	}
+}
+
 // earlierGrants returns the bound for a term that replaces the lease row last read.
-// Its holder sent the transaction that wrote the row before firstRead, and before
-// its address refused connections, and no later one was stored.
+// Its holder sent the transaction that wrote the row before firstRead and sentBefore,
+// and no later one was stored.
 func (e *Elector) earlierGrants(o *observations, lease leaseRow) earlierGrants {
 	sentBefore := o.firstRead
-	if o.endedAt > 0 && o.ended == lease.Process {
-		sentBefore = min(sentBefore, o.endedAt)
+	if o.sentBefore != 0 {
+		sentBefore = min(sentBefore, o.sentBefore)
 	}
 	g := earlierGrants{end: sentBefore + validFor + time.Duration(clockDrift*float64(validFor)) + e.cfg.leaseLength()}
 	if lease.Released {
--- a/entry/scheduler/earliergrants_test.go
+++ b/entry/scheduler/earliergrants_test.go
@@ -1,19 +1,23 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"persimmonrock.example/infra/rowstore"
 	"persimmonrock.example/structs/workload"
+	"persimmonrock.example/wire/dispatch"
 )
 
 const testGrant = 5 * time.Second
 
 // observedLease returns an elector whose clock is now, and its watch of the lease.
 func observedLease(now *time.Duration) (*Elector, *observations) {
-	deps := Deps{Now: func() time.Duration { return *now }, Counters: &Counters{}}
+	deps := Deps{Now: func() time.Duration { return *now }, Counters: &Counters{}, Link: dispatch.NewLink}
 	return NewElector(Config{Node: "a", Grant: testGrant}, deps), &observations{}
 }
 
@@ -100,3 +104,67 @@
 		}
 	}
 }
+
+// Failure guarded against: a bound on the write of the lease row that lies before the
+// write was sent, so that leases granted by it count as over while tasks run under them.
+func TestStoreTimeBoundsWhenTheLeaseWasSent(t *testing.T) {
+	const sent, second = time.Minute, time.Second
+	cases := []struct {
+		name string
+		// elapsed and store are the times since the write by the local clock and by the
+		// store's, slack how far the writer's bound was beyond the store's clock.
+		elapsed, store, slack time.Duration
+		// seen says that the version before was seen a second before the write.
+		seen bool
+		// latest is the latest bound, from the write on.
+		latest time.Duration
+	}{
+		{"read at once", 0, 0, 0, true, 0},
+		{"read long after the write", 8 * second, 8 * second, 0, true, second / 2},
+		{"the writer knew the store's clock roughly", 8 * second, 8 * second, second, true, 3 * second / 2},
+		{"the store's clock is slow", 8 * second, 8 * second * 98 / 100, 0, true, second / 2},
+		{"no version was seen before", 8 * second, 8 * second, 0, false, 8 * second},
+	}
+	for _, c := range cases {
+		now := sent - second
+		e, o := observedLease(&now)
+		storeClock := 5 * time.Hour
+		read := func(version uint64, lease leaseRow, at time.Duration) {
+			_ = e.observe(o, rowstore.Row{Version: version, Value: encode(lease)})
+			o.boundSending(lease, rowstore.Stamp{Now: at}, now)
+		}
+		if c.seen {
+			read(7, leaseRow{Process: "p"}, storeClock-second)
+		}
+		lease := leaseRow{Process: "p", SentBy: (storeClock + c.slack).Milliseconds()}
+		now = sent + c.elapsed
+		read(8, lease, storeClock+c.store)
+		g := e.earlierGrants(o, lease).end - validFor - time.Duration(clockDrift*float64(validFor)) - e.cfg.leaseLength()
+		if g < sent || g > sent+c.latest {
+			t.Errorf("%s: the write counts as sent %v after it was sent, want 0 to %v", c.name, g-sent, c.latest)
+		}
+	}
+}
+
+// Failure guarded against: the holder's address refuses connections for a moment, and
+// its grants count as over long afterwards, though it has renewed its lease since.
+func TestRefusedConnectionDoesNotEndGrants(t *testing.T) {
+	now := time.Minute
+	e, o := observedLease(&now)
+	lease := leaseRow{Process: "p", Address: "a"}
+	e.leader = lease
+	e.deps.Link = func(address string) *dispatch.Link {
+		return dispatch.NewLinkWithDial(address, func(context.Context) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+	}
+	e.link = e.deps.Link("a")
+	if e.confirmed(o, e.ask(t.Context(), pingTimeout)) {
+		t.Fatal("a refused connection confirms the lease")
+	}
+	for version := range uint64(30) {
+		now += time.Second / 2
+		_ = e.observe(o, rowstore.Row{Version: 1 + version, Value: encode(lease)})
+	}
+	if end := e.earlierGrants(o, lease).end; end < now+validFor+e.cfg.leaseLength() {
+		t.Errorf("grants end in %v", end-now)
+	}
+}
--- a/entry/scheduler/elector.go
+++ b/entry/scheduler/elector.go
@@ -89,10 +89,10 @@
 	// request was answered since unansweredSince; each is 0 otherwise.
 	refusedSince    time.Duration
 	unansweredSince time.Duration
-	// ended is the last holder whose address has refused a connection, at endedAt:
-	// the process has ended, and has sent nothing since.
-	ended   string
-	endedAt time.Duration
+	// sentBefore is the local time before which the write of version was sent; 0 if
+	// only firstRead bounds it. sentAfter is when the version before was first read; 0
+	// if there was none.
+	sentBefore, sentAfter time.Duration
 	// freeSince is when the lease was first found free.
 	freeSince time.Duration
 	// readTime is the duration of the latest read.
@@ -124,7 +124,7 @@
 // record records that the lease had the version at now.
 func (o *observations) record(version uint64, now time.Duration) {
 	if version != o.version || o.firstRead == 0 {
-		o.firstRead = now
+		o.firstRead, o.sentBefore, o.sentAfter = now, 0, o.firstRead
 	}
 	if version != o.version || o.versionSince == 0 || now-o.lastRead > maxReadGap {
 		o.version, o.versionSince = version, now
@@ -149,15 +149,16 @@
 			continue
 		}
 		asked := e.deps.Now()
-		row, err := rowstore.Get(ctx, e.deps.Store, leaseKey)
+		row, at, err := rowstore.GetAt(ctx, e.deps.Store, leaseKey)
 		if err != nil {
 			wait.For(ctx, pollEvery/2)
 			continue
 		}
 		o.readTime = e.deps.Now() - asked
 		lease := e.observe(&o, row)
+		o.boundSending(lease, at, e.deps.Now())
 		if e.shouldTake(ctx, &o, lease, q) {
-			if term := e.acquire(ctx, row, e.earlierGrants(&o, lease)); term != nil {
+			if term := e.acquire(ctx, row, e.earlierGrants(&o, lease), storeBound{store: at.Now, asked: asked}); term != nil {
 				e.serve(ctx, term)
 				o = observations{}
 				continue
@@ -299,9 +300,11 @@
 }
 
 // acquire takes the lease if row is still current. It returns the term, or nil.
-func (e *Elector) acquire(ctx context.Context, row rowstore.Row, earlier earlierGrants) *Term {
-	lease := leaseRow{Node: e.cfg.Node, Process: e.cfg.Process, Address: e.cfg.Address, Count: rand.Uint64() >> 1, Power: e.cfg.Power}
+func (e *Elector) acquire(ctx context.Context, row rowstore.Row, earlier earlierGrants, clock storeBound) *Term {
 	sent := e.deps.Now()
+	lease := leaseRow{
+		Node: e.cfg.Node, Process: e.cfg.Process, Address: e.cfg.Address, Count: rand.Uint64() >> 1, Power: e.cfg.Power, SentBy: clock.boundMs(sent),
+	}
 	stamp, err := e.deps.Store.Apply(ctx, rowstore.Txn{
 		Conds: []rowstore.Cond{{Key: leaseKey, Version: row.Version}},
 		Puts:  []rowstore.Put{{Key: leaseKey, Value: encode(lease)}},
--- a/entry/scheduler/holder.go
+++ b/entry/scheduler/holder.go
@@ -60,9 +60,6 @@
 	if q == nil || !q.Answered(confirmTimeout) {
 		return false
 	}
-	if q.Refused() && o.ended != q.Process {
-		o.ended, o.endedAt = q.Process, e.deps.Now()
-	}
 	version, age, ok := q.Held()
 	if !ok || age >= provenFor {
 		return false
--- a/entry/scheduler/load.go
+++ b/entry/scheduler/load.go
@@ -98,10 +98,11 @@
 
 func (t *Term) listAllAt(table, part string) ([]rowstore.Row, rowstore.Stamp, error) {
 	for {
+		asked := t.deps.Now()
 		rows, at, err := rowstore.ListAll(t.ctx, t.deps.Store, table, part)
 		if err == nil {
 			t.mu.Lock()
-			t.recordStoreTime(at)
+			t.recordStoreTime(at, asked)
 			t.mu.Unlock()
 			return rows, at, nil
 		}
@@ -263,6 +264,7 @@
 // also send each of them by a call; the feed covers lost calls.
 func (t *Term) followJobs(after uint64) {
 	for t.ctx.Err() == nil {
+		asked := t.deps.Now()
 		rows, at, err := t.deps.Store.Feed(t.ctx, JobsTable, after, feedWait)
 		switch {
 		case errors.Is(err, rowstore.ErrCompacted):
@@ -277,7 +279,7 @@
 			t.sleep(loadRetry)
 		default:
 			t.mu.Lock()
-			t.recordStoreTime(at)
+			t.recordStoreTime(at, asked)
 			t.mu.Unlock()
 			t.receiveJobs(rows)
 			after = max(after, at.Version, lastVersion(rows))
--- a/entry/scheduler/rows.go
+++ b/entry/scheduler/rows.go
@@ -95,6 +95,9 @@
 	// Successor is the one node that may take the lease within successorWait of
 	// its release.
 	Successor string `json:"h,omitempty"`
+	// SentBy is the latest time that the store's clock could show when the write was
+	// sent, in ms; 0 in a write of a version without it.
+	SentBy int64 `json:"t,omitempty"`
 }
 
 // leaseEndsRow holds what a scheduler that releases its lease knows of the leases
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -172,6 +172,7 @@
 	// renewal is the last stored renewal of the lease, for other entries.
 	renewal    renewal
 	storeClock storeClock
+	storeBound storeBound
 }
 
 // newTerm returns a term of the lease that was written as version. at is the stamp
@@ -185,7 +186,7 @@
 		earlyCancels: map[workload.JobID]earlyCancel{}, lostRuns: map[string]time.Duration{}, deleted: map[workload.JobID]uint64{}, apart: map[*job]bool{}, validUntil: sent + validFor, lease: lease, leaseVersion: version,
 		renewal: renewal{version: version, sent: sent},
 	}
-	t.recordStoreTime(at)
+	t.recordStoreTime(at, sent)
 	if cfg.Policies.Forecast.Enabled {
 		t.forecaster = newForecaster()
 	}
--- a/infra/rowstore/rowstore.go
+++ b/infra/rowstore/rowstore.go
@@ -139,19 +139,25 @@
 
 // Get reads one row; a row that is absent has version 0.
 func Get(ctx context.Context, s Reader, k Key) (Row, error) {
-	rows, more, _, err := s.List(ctx, k.Table, k.Part, k.Key, k.Key+"\x00")
+	row, _, err := GetAt(ctx, s, k)
+	return row, err
+}
+
+// GetAt is Get with the stamp of the answer.
+func GetAt(ctx context.Context, s Reader, k Key) (Row, Stamp, error) {
+	rows, more, at, err := s.List(ctx, k.Table, k.Part, k.Key, k.Key+"\x00")
 	if err != nil {
-		return Row{}, err
+		return Row{}, Stamp{}, err
 	}
 	for _, r := range rows {
 		if r.Key.Key == k.Key {
-			return r, nil
+			return r, at, nil
 		}
 	}
 	if more {
-		return Row{}, errLeftOut
+		return Row{}, Stamp{}, errLeftOut
 	}
-	return Row{Key: k}, nil
+	return Row{Key: k}, at, nil
 }
 
 // ListAll reads a whole partition of a table, page by page. It returns the
