--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -385,34 +385,43 @@
 }
 
 func (t *Term) resolveEnd(j *job, s *step, k *task, e workload.End, w *worker) {
-	counted := false
-	switch {
-	case j.state.Final():
-		j.release(s, k, "")
-	case e.Kind == workload.EndDone && s.spec.Gang:
+	effect := effectOf(s.spec, e.Kind)
+	if j.state.Final() {
+		effect = requeued
+	}
+	switch effect {
+	case gangEnds:
 		t.finishGang(j, s, e.Run)
-		counted = true
-	case e.Kind == workload.EndDone && !s.spec.Lasting:
+	case taskEnds:
 		t.recordDuration(j, s, k, e)
 		j.finish(s, k)
-		counted = true
-	case e.Kind == workload.EndFailed:
+	case countedFailure:
 		t.applyFailure(j, s, k, e, w)
-	default:
-		k.worked += e.Worked
-		j.release(s, k, t.keepCheckpoint(e.Run, k.checkpoint, e.Checkpoint))
-		t.stopGang(j, s, e.Run)
+	case requeued:
+		t.requeueEnded(j, s, k, e)
 	}
 	if j.state.Final() && j.final == 0 {
 		j.final = t.storeNow()
 	}
-	if counted {
+	if effect == taskEnds || effect == gangEnds {
 		t.logDone(j, s, e.Run)
 		return
 	}
 	t.logEnd(j, s, k, e, w)
 }
 
+// requeueEnded makes the task of an ended run wait again. A final job keeps no
+// checkpoint, and its other runs are being stopped already.
+func (t *Term) requeueEnded(j *job, s *step, k *task, e workload.End) {
+	if j.state.Final() {
+		j.release(s, k, "")
+		return
+	}
+	k.worked += e.Worked
+	j.release(s, k, t.keepCheckpoint(e.Run, k.checkpoint, e.Checkpoint))
+	t.stopGang(j, s, e.Run)
+}
+
 func (t *Term) recordDuration(j *job, s *step, k *task, e workload.End) {
 	t.learnDuration(j, s, k, e)
 	if e.Worked <= 0 {
