--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -142,6 +142,7 @@
 		s.task.crashes++
 		s.task.prime = s.prime
 		s.job.suspect = s.job.suspect || s.prime
+		s.job.begun = s.job.begun || s.begun
 		s.task.crashedOn, s.task.couldStart = w.agent, time.Time{}
 		if s.job.lasts() {
 			s.task.notBefore = time.Now().Add(pauseAfter(s.task.crashes))
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"persimmonrock.example/decide/blame"
@@ -192,7 +193,9 @@
 	cancelRow bool
 	// unsaved says that the job is on the list of jobs to store.
 	unsaved bool
-	started bool
+	// started says that a task has been placed, begun that a run is known to have been
+	// on its worker.
+	started, begun bool
 	// idleSince is when the job was first seen without a placed task.
 	idleSince time.Time
 	// noRunSince is the time since which no task of the job has been placed, in ms
@@ -371,6 +374,7 @@
 	j.seenBefore = time.Duration(r.Seen) * time.Millisecond
 	j.seenStored = j.seenBefore
 	j.started = r.State != workload.Queued
+	j.begun = r.begun()
 	if r.NoRunSince > 0 {
 		j.noRunSince = max(r.NoRunSince, j.spec.Accepted)
 	}
@@ -385,6 +389,26 @@
 	}
 }
 
+// begun reports whether the row shows that a run was on a worker. A placement alone
+// does not: the worker may have been lost before the run began.
+func (r *progressRow) begun() bool {
+	if r.State == workload.Completed || r.State == workload.Failed || r.Next > 1 && len(r.Occurrences) == 0 {
+		return true
+	}
+	for _, o := range r.Occurrences {
+		for _, s := range o.Steps {
+			if s.Done != nil || slices.ContainsFunc(s.Tasks, taskRow.begun) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r taskRow) begun() bool {
+	return r.Fails > 0 || r.Certain > 0 || r.Checkpoint != "" || r.Worked > 0
+}
+
 func (s *step) restore(sr stepRow, workers []workerRef, accepted int64, now time.Time) {
 	for i := range s.tasks {
 		if sr.isDone(i) {
--- a/entry/scheduler/link.go
+++ b/entry/scheduler/link.go
@@ -375,6 +375,7 @@
 	}
 	if r.State == dispatch.RunPresent && k.presentAt == 0 {
 		k.presentAt = t.deps.Now()
+		j.begun = true
 	}
 	if r.Work != nil {
 		k.work = runWork{known: true, at: t.deps.Now(), pace: r.Work.Pace, worked: r.Work.Worked, left: r.Work.Left}
--- a/entry/scheduler/parts.go
+++ b/entry/scheduler/parts.go
@@ -289,6 +289,7 @@
 		if err := p.check(&j.spec); err != nil {
 			return eris.Wrapf(err, "row %s/%s", row.Key.Table, row.Key.Key)
 		}
+		j.begun = j.begun || p.begun()
 		for _, or := range p.Occurrences {
 			j.restoreOccurrence(or, p.Workers, now)
 		}
--- a/entry/scheduler/service.go
+++ b/entry/scheduler/service.go
@@ -82,14 +82,14 @@
 	return reply
 }
 
-// Waiting counts the jobs of a queue that have had no task placed and have not
-// ended.
+// Waiting counts the jobs of a queue of which no run is known to have begun and that
+// have not ended.
 func (t *Term) Waiting(args dispatch.WaitingArgs) dispatch.WaitingReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reply := dispatch.WaitingReply{Leading: t.loaded && t.deps.Now() < t.validUntil, Outlook: t.newerOutlook(args.Mark, false)}
 	for _, j := range t.active {
-		if j.spec.Queue.Name == args.Queue && !j.started && !j.state.Final() {
+		if j.spec.Queue.Name == args.Queue && !j.begun && !j.state.Final() {
 			reply.Waiting++
 		}
 	}
--- a/entry/scheduler/term.go
+++ b/entry/scheduler/term.go
@@ -373,6 +373,7 @@
 		return
 	}
 	w.remove(e.Run)
+	j.begun = true
 	if e.Kind == workload.EndDone {
 		t.clearCrashes(j, k)
 	}
