--- a/agent/runner/reportorder.go
+++ b/agent/runner/reportorder.go
@@ -16,8 +16,9 @@
 // Guards against one report with a number that the worker has not reached: all its
 // later reports would count as late.
 type reportOrder struct {
-	// newest is the number of the newest report.
+	// newest is the number of the newest report, if one was seen.
 	newest uint64
+	seen   bool
 	// lower is the number of the latest of so many reports in a row that count as late,
 	// the first of which came at lowerSince.
 	lower      uint64
@@ -25,9 +26,10 @@
 	lowerSince time.Duration
 }
 
-// isNext reports whether a report that arrives now is newer than those accepted.
-func (o *reportOrder) isNext(number uint64, now time.Duration) bool {
-	if number > o.newest {
+// record records a report that arrives now, and reports whether it is the newest.
+func (o *reportOrder) record(number uint64, now time.Duration) (newest bool) {
+	if !o.seen || number > o.newest {
+		*o = reportOrder{newest: number, seen: true}
 		return true
 	}
 	if o.lowers == 0 || number <= o.lower {
@@ -36,11 +38,12 @@
 	}
 	o.lower = number
 	o.lowers++
-	return o.lowers >= recountReports && now-o.lowerSince >= recountSpan
+	if o.lowers < recountReports || now-o.lowerSince < recountSpan {
+		return false
+	}
+	*o = reportOrder{newest: number, seen: true}
+	return true
 }
 
 // recounts reports whether reports with rising numbers arrive, though too few yet.
 func (o *reportOrder) recounts() bool { return o.lowers > 1 }
-
-// accept records the newest report.
-func (o *reportOrder) accept(number uint64) { *o = reportOrder{newest: number} }
--- a/agent/runner/reports_test.go
+++ b/agent/runner/reports_test.go
@@ -20,7 +20,7 @@
 		if r.candidateAt == 0 {
 			t.Errorf("report %d of a worker that the process before had found is ignored", number)
 		}
-		r.candidateAt, r.candidateOrder = time.Hour, reportOrder{newest: number}
+		r.candidateAt, r.candidateOrder = time.Hour, reportOrder{newest: number, seen: true}
 		r.incarnation = &incarnation{id: w.ID, worker: w}
 		r.Reported(w, number)
 		if r.incarnation.reportedAt == 0 {
--- a/agent/runner/watch.go
+++ b/agent/runner/watch.go
@@ -145,14 +145,13 @@
 	defer r.mu.Unlock()
 	if inc := r.incarnation; inc != nil && inc.id == w.ID {
 		now := r.deps.Now()
-		if inc.reportedAt > 0 && !inc.order.isNext(sequence, now) {
-			if inc.order.recounts() {
-				inc.reportedAt = now
-			}
+		newest := inc.order.record(sequence, now)
+		if newest || inc.order.recounts() {
+			inc.reportedAt = now
+		}
+		if !newest {
 			return
 		}
-		inc.order.accept(sequence)
-		inc.reportedAt = now
 		if inc.worker.Draining && !w.Draining {
 			w.Draining = true
 		}
@@ -169,24 +168,23 @@
 			return
 		}
 	}
-	order := reportOrder{}
-	if r.candidate != nil && r.candidate.ID == w.ID {
-		if order = r.candidateOrder; r.candidateAt > 0 && !order.isNext(sequence, r.deps.Now()) {
-			r.candidateOrder = order
-			return
-		}
+	reborn := r.incarnation != nil && r.isReborn(w.ID)
+	if reborn && r.incarnation.id.Born() == 0 {
+		// Workers that do not tell the start of their life never keep their identifier.
+		r.countUnreadable(errOddLife)
+		return
 	}
-	order.accept(sequence)
-	if inc := r.incarnation; inc != nil && r.isReborn(w.ID) {
-		if inc.id.Born() == 0 {
-			// Workers that do not tell the start of their life never keep their identifier.
-			r.countUnreadable(errOddLife)
-			return
-		}
-		inc.replaced = inc.replaced || w.ID.Born() > inc.id.Born()
+	if r.candidate == nil || r.candidate.ID != w.ID {
+		r.candidateOrder = reportOrder{}
+	}
+	if !r.candidateOrder.record(sequence, r.deps.Now()) {
+		return
+	}
+	if reborn && w.ID.Born() > r.incarnation.id.Born() {
+		r.incarnation.replaced = true
 	}
 	r.candidate = &w
-	r.candidateOrder, r.candidateAt = order, r.deps.Now()
+	r.candidateAt = r.deps.Now()
 	r.wakeHold()
 }
 
--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -162,6 +162,7 @@
 	return v.confirmed >= minCrashes && v.odds >= math.Log(certainOdds)
 }
 
+// weigh sums up the evidence and that of others, up to the trial latest.
 func (e *Evidence) weigh(latest Trial, others []*Evidence) verdict {
 	all := slices.Clone(e.trials)
 	for _, o := range others {
@@ -176,19 +177,17 @@
 			former = max(former, o.former)
 		}
 	}
-	v := verdict{odds: math.Log(deadlyBefore / (1 - deadlyBefore))}
-	v.confirmed, v.odds = former, v.odds+float64(former)*Crash{Confirmed: true, Alone: true}.Weight(formerChance)
+	formerWeight := Crash{Confirmed: true, Alone: true}.Weight(formerChance)
+	v := verdict{
+		confirmed: former + len(chain),
+		odds:      math.Log(deadlyBefore/(1-deadlyBefore)) + float64(former)*formerWeight,
+	}
 	for _, t := range chain {
-		v.add(t.Crash.Weight(t.Chance))
+		v.odds += t.Crash.Weight(t.Chance)
 	}
 	return v
 }
 
-func (v *verdict) add(weight float64) {
-	v.confirmed++
-	v.odds += weight
-}
-
 // over is when the worker of the trial was lost at the latest: a run is suspected for
 // suspectFor only, though the loss may be known later.
 func (t *Trial) over() time.Time {
