--- a/agent/lease/lease.go
+++ b/agent/lease/lease.go
@@ -38,6 +38,8 @@
 // Counters are a Keeper's counters.
 type Counters struct {
 	Taken, Renewed, RenewFailed, Lost, Lapsed, Released atomic.Int64
+	// Unreadable counts the rows that held no lease of the instance.
+	Unreadable atomic.Int64
 }
 
 // ErrNotHeld is returned when no lease is held.
@@ -161,12 +163,7 @@
 	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return eris.Wrapf(err, "read lease of %s", k.config.Instance)
 	}
-	var old structs.AgentLease
-	if row.Version > 0 {
-		if err := json.Unmarshal(row.Value, &old); err != nil {
-			return eris.Wrapf(err, "decode lease row of %s", k.config.Instance)
-		}
-	}
+	old := k.previous(row)
 	above := old.Incarnation
 	if k.HighestUsed != nil {
 		above = max(above, k.HighestUsed())
@@ -194,6 +191,26 @@
 	return nil
 }
 
+// maxIncarnation bounds the incarnations of a row that can be used.
+const maxIncarnation = 1 << 62
+
+// previous returns the lease that the row holds. A row that another writer left, which
+// holds no lease of this instance, has the row's version as its incarnation: each
+// incarnation was written with a version of its own, so none was higher.
+//
+// Guards against one odd row, after which the instance takes its lease never again.
+func (k *Keeper) previous(row infra.Row) structs.AgentLease {
+	var old structs.AgentLease
+	if row.Version == 0 {
+		return old
+	}
+	if err := json.Unmarshal(row.Value, &old); err != nil || old.Instance != k.config.Instance || old.Incarnation > maxIncarnation {
+		k.Counters.Unreadable.Add(1)
+		return structs.AgentLease{Incarnation: structs.Incarnation(row.Version)}
+	}
+	return old
+}
+
 // write stores the row if its version is still the given one.
 func (k *Keeper) write(ctx context.Context, row structs.AgentLease, version uint64) (uint64, error) {
 	value, err := json.Marshal(row)
@@ -302,5 +319,6 @@
 	return map[string]int64{
 		"taken": c.Taken.Load(), "renewed": c.Renewed.Load(), "renew_failed": c.RenewFailed.Load(),
 		"lost": c.Lost.Load(), "lapsed": c.Lapsed.Load(), "released": c.Released.Load(),
+		"unreadable": c.Unreadable.Load(),
 	}
 }
