--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -228,19 +228,18 @@
 	lease := t.lease
 	lease.Count++
 	lease.Epoch = t.epoch
-	full := rowstore.Txn{
-		Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}},
-		Puts:  []rowstore.Put{{Key: leaseKey}},
-	}
+	full := rowstore.Txn{Conds: []rowstore.Cond{{Key: leaseKey, Version: t.leaseVersion}}}
+	var puts []rowstore.Put
 	for _, g := range x {
-		full.Puts, full.Deletes = append(full.Puts, g.puts...), append(full.Deletes, g.deletes...)
+		puts, full.Deletes = append(puts, g.puts...), append(full.Deletes, g.deletes...)
 	}
 	first := t.deps.Now()
 	pause := commitRetry
 	for t.ctx.Err() == nil {
 		sent := t.deps.Now()
 		lease.SentBy = t.storeTimeBound(sent)
-		full.Puts[0].Value = encode(lease)
+		// An attempt without an answer may still be on its way, so each has a list of its own.
+		full.Puts = append([]rowstore.Put{{Key: leaseKey, Value: encode(lease)}}, puts...)
 		// The answer is awaited even while the process stops: the release of the
 		// lease needs the version of the last transaction.
 		stamp, err := t.deps.Store.Apply(context.WithoutCancel(t.ctx), full)
