--- a/sessions/machines/oddrows_test.go
+++ b/sessions/machines/oddrows_test.go
@@ -1,6 +1,7 @@
 package machines
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -120,3 +121,68 @@
 		})
 	}
 }
+
+// TestRandomDaysOfOddWriter simulates random days on which another writer leaves odd
+// rows and reports between the other faults.
+func TestRandomDaysOfOddWriter(t *testing.T) {
+	for i := range max(1, *seeds/3) {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomDay(t, seed, 1.0/16, (*day).oddFault) })
+	}
+}
+
+// oddFault draws a fault of any kind, or an odd row or report. The returned function
+// injects it.
+func (d *day) oddFault() func() {
+	rng := d.faultRNG
+	agent := d.sim.agents[rng.IntN(len(d.sim.agents))]
+	whole := oddvalue.Whole()
+	odd := map[rowstore.Key][]byte{}
+	switch rng.IntN(6) {
+	case 0:
+		odd[rowstore.Key{Table: "scheduler", Part: "s", Key: "lease"}] = d.oddValue("scheduler")
+	case 1:
+		odd[dispatch.AgentKey(agent.Node)] = whole[rng.IntN(len(whole))].Text
+	case 2:
+		job := fmt.Sprintf("%016x", rng.Uint64())
+		for _, key := range []rowstore.Key{
+			{Table: "jobs", Part: fmt.Sprint(rowstore.Spread(job, 32)), Key: job}, {Table: "progress", Part: "s", Key: job},
+			{Table: "progress-parts", Part: "s", Key: job + ".100.0"}, {Table: "learnt", Part: "s", Key: "pressure"}, dispatch.AgentKey(job),
+		} {
+			odd[key] = d.oddValue(key.Table)
+		}
+	case 3:
+		number := []uint64{1<<64 - 1, 4000000000, 100}[rng.IntN(3)]
+		return func() { agent.reportOddly(number) }
+	default:
+		return d.fault()
+	}
+	return func() {
+		for key, value := range odd {
+			d.sim.overwrite(key, value)
+		}
+	}
+}
+
+// reportOddly sends a report with a number that the worker has not reached.
+func (a *Agent) reportOddly(number uint64) {
+	info, _ := a.Worker().Info()
+	a.mu.Lock()
+	r := a.runner
+	a.mu.Unlock()
+	if r != nil {
+		r.Reported(info, number)
+	}
+}
+
+// oddValue returns a value that replaces a whole row, or one of the table's values with
+// an odd part.
+func (d *day) oddValue(table string) []byte {
+	rng := d.faultRNG
+	rows := d.sim.Store.RowsOf(table)
+	if len(rows) == 0 || table == dispatch.AgentsTable || rng.IntN(2) == 0 {
+		whole := oddvalue.Whole()
+		return whole[rng.IntN(len(whole))].Text
+	}
+	return oddvalue.Mutate(rng, rows[rng.IntN(len(rows))].Value)
+}
